--- /dev/null
+++ b/marjorampath/sheet/adapter_assignment.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+
+#include <string>
+
+namespace marjorampath
+{
+
+/// One row of the sheet's `adapters` table: the version of an adapter that a service
+/// uses.
+struct adapter_assignment
+{
+    /// Service that may use the adapter.
+    service_id service;
+    /// Hash of the adapter's name.
+    adapter_id adapter;
+    /// Hash of `ADAPTER@VERSION`.
+    adapter_version_id id;
+    /// Name of the adapter, as callers write it.
+    std::string adapter_name;
+    /// Version that the sheet assigns.
+    std::string version;
+
+    /// The name `ADAPTER@VERSION` by which engines know the version. Requests to engines
+    /// carry it, so that no other version can answer.
+    [[nodiscard]] std::string qualified_name() const
+    {
+        return adapter_name + '@' + version;
+    }
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/sheet/csv_table.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <marjorampath/sheet/sheet_part.hpp>
+#include <marjorampath/sheet/sheet_problem.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#ifndef CSV_IO_NO_THREAD
+#define CSV_IO_NO_THREAD
+#endif
+#include <libfccp/csv.h>
+
+namespace marjorampath
+{
+
+/// The fields of one row of a CSV table with `Columns` columns, and its line.
+template <std::size_t Columns>
+struct csv_row
+{
+    /// Line in the part, counted from 1.
+    std::uint32_t line = 0;
+    /// Fields in the order of the columns that were asked for.
+    std::array<std::string, Columns> fields;
+};
+
+/// Quotes a field where RFC 4180 asks for it.
+std::string quote_csv_field(std::string_view field);
+
+/// Reads all rows of a part. The header must name just `columns`, in any order. A row
+/// with too few or too many fields, or a broken quote, is added to `problems` and ends
+/// the reading.
+template <std::size_t Columns>
+std::vector<csv_row<Columns>> read_csv_table(sheet_part const& part,
+                                             std::array<char const*, Columns> columns,
+                                             std::vector<sheet_problem>& problems)
+{
+    using quoting = io::double_quote_escape<',', '"'>;
+    std::vector<csv_row<Columns>> rows;
+    io::CSVReader<Columns, io::trim_chars<' ', '\t', '\r'>, quoting,
+                  io::throw_on_overflow, io::single_and_empty_line_comment<'#'>>
+        reader(part.name, part.text.data(), part.text.data() + part.text.size());
+
+    // The library takes the columns as separate arguments
+    auto const read_all = [&]<std::size_t... Index>(std::index_sequence<Index...>)
+    {
+        reader.read_header(io::ignore_no_column, columns[Index]...);
+        csv_row<Columns> row;
+        while (reader.read_row(row.fields[Index]...))
+        {
+            row.line = reader.get_file_line();
+            rows.push_back(row);
+        }
+    };
+
+    try
+    {
+        read_all(std::make_index_sequence<Columns>{});
+    }
+    catch (io::error::base const& error)
+    {
+        problems.push_back({.part = part.name,
+                            .row = static_cast<std::uint32_t>(reader.get_file_line()),
+                            .column = {},
+                            .text = error.what()});
+    }
+    return rows;
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/sheet/sheet_part.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace marjorampath
+{
+
+/// The largest size of one part, in bytes: what the configuration service holds in one
+/// value.
+inline constexpr std::size_t max_sheet_part_bytes = 1'000'000;
+
+/// One published value: a CSV document (RFC 4180) that holds rows of one table.
+///
+/// The name is `TABLE` or `TABLE-N`, where TABLE is one of `endpoint_kinds`, `services`,
+/// `adapters` and `non_idempotent`.
+struct sheet_part
+{
+    /// Name of the part.
+    std::string name;
+    /// CSV text, with a header row.
+    std::string text;
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/sheet/sheet_problem.cpp
@@ -0,0 +1,17 @@
+#include <marjorampath/sheet/sheet_problem.hpp>
+
+#include <fmt/format.h>
+
+namespace marjorampath
+{
+
+std::string sheet_problem::to_string() const
+{
+    if (row == 0)
+        return fmt::format("{}: {}", part, text);
+    if (column.empty())
+        return fmt::format("{}:{}: {}", part, row, text);
+    return fmt::format("{}:{}:{}: {}", part, row, column, text);
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds everything and runs all tests. The last line counts them.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+tools/install_packages.sh
+cmake --preset release > /dev/null
+cmake --build --preset release
+
+passed=0
+failed=0
+for program in unit process; do
+    binary=build/release/bin/marjorampath-$program-tests
+    [ -x "$binary" ] || continue
+    log=build/release/$program-tests.log
+    status=0
+    "$binary" --color_output=no --report_level=short --log_level=test_suite > "$log" 2>&1 || status=$?
+    count=$(grep -cE 'Leaving test case' "$log" || true)
+    broken=$( (grep -oE '[0-9]+ test cases? out of [0-9]+ (failed|aborted)' "$log" || true) |
+        awk '{sum += $1} END {print sum + 0}')
+    if [ "$status" -ne 0 ]; then
+        grep -E 'error|seed|fatal|KNOWN-RED' "$log" | head -50
+        [ "$broken" -gt 0 ] || broken=1
+    fi
+    echo "$program tests: $count cases, $broken failed (log: $log)"
+    passed=$((passed + count - broken))
+    failed=$((failed + broken))
+done
+
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
