--- a/marjorampath/cell/cell_action.hpp
+++ b/marjorampath/cell/cell_action.hpp
@@ -7,7 +7,8 @@
 #include <variant>
 #include <vector>
 
-namespace marjorampath {
+namespace marjorampath
+{
 
 /// Tells an entry host to run its request at an endpoint, which has the adapter.
 struct grant_action
--- a/marjorampath/cell/endpoint_report.hpp
+++ b/marjorampath/cell/endpoint_report.hpp
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <vector>
 
-namespace marjorampath {
+namespace marjorampath
+{
 
 /// What is known of an endpoint from the host list, the sheet and its own reports.
 struct endpoint_report
--- a/marjorampath/cell/grant_request.hpp
+++ b/marjorampath/cell/grant_request.hpp
@@ -5,7 +5,8 @@
 
 #include <cstdint>
 
-namespace marjorampath {
+namespace marjorampath
+{
 
 /// An entry host's question to the owner of a cell: where may this request run?
 struct grant_request
@@ -32,6 +33,10 @@
     std::int32_t priority = 0;
     /// Whether the request may be tried again after it may have run.
     bool idempotent = true;
+    /// Whether it must run alone on its endpoint, since it may have crashed one.
+    bool isolated = false;
+    /// Number of earlier attempts of the same call; counts against the retry budget.
+    std::uint32_t attempt = 0;
     /// Time by which the answer must be complete, on the clock of the owner.
     time_point deadline;
     /// Estimated number of prompt tokens.
--- a/marjorampath/cell/release_report.hpp
+++ b/marjorampath/cell/release_report.hpp
@@ -4,7 +4,8 @@
 
 #include <cstdint>
 
-namespace marjorampath {
+namespace marjorampath
+{
 
 /// How the run of a granted request ended.
 enum class release_reason
