--- /dev/null
+++ b/marjorampath/suspect/conviction.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/time.hpp>
+
+#include <cstdint>
+
+namespace marjorampath
+{
+
+/// A request content that was in flight when endpoints died. One crash makes it a
+/// suspect, two distinct ones convict it.
+struct conviction
+{
+    /// Content of the request.
+    fingerprint_id fingerprint;
+    /// Identifier of the first crash: a hash of endpoint and boot number.
+    std::uint64_t first_crash = 0;
+    /// Identifier of the second crash, zero where there was none.
+    std::uint64_t second_crash = 0;
+    /// Wall-clock time of the latest crash; a release ends what is not younger.
+    wall_milliseconds crashed_at{0};
+    /// Time until the record expires.
+    duration remaining{0};
+};
+
+} // namespace marjorampath
