--- /dev/null
+++ b/marjorampath/sheet/sheet_packer.cpp
@@ -0,0 +1,65 @@
+#include <marjorampath/sheet/sheet_packer.hpp>
+
+#include <fmt/format.h>
+
+#include <string_view>
+#include <utility>
+
+namespace marjorampath
+{
+
+namespace
+{
+
+// The first line of a text with its line end, which is removed from the text
+std::string_view take_line(std::string_view& text)
+{
+    auto const end = text.find('\n');
+    auto const size = end == std::string_view::npos ? text.size() : end + 1;
+    auto const line = text.substr(0, size);
+    text.remove_prefix(size);
+    return line;
+}
+
+void split_table(sheet_part const& table, std::size_t limit,
+                 std::vector<sheet_part>& parts)
+{
+    std::string_view rest = table.text;
+    std::string header(take_line(rest));
+    if (!header.ends_with('\n'))
+        header += '\n';
+
+    std::string text = header;
+    std::size_t index = 0;
+    auto const finish_part = [&]
+    {
+        parts.push_back({fmt::format("{}-{}", table.name, index++), std::move(text)});
+        text = header;
+    };
+
+    while (!rest.empty())
+    {
+        auto const row = take_line(rest);
+        if (text.size() > header.size() && text.size() + row.size() > limit)
+            finish_part();
+        text += row;
+    }
+
+    // A table without rows is still published
+    if (text.size() > header.size() || index == 0)
+        finish_part();
+}
+
+} // namespace
+
+packed_sheet pack_sheet(std::uint64_t number, std::span<sheet_part const> tables,
+                        std::size_t limit)
+{
+    packed_sheet packed;
+    for (auto const& table : tables)
+        split_table(table, limit, packed.parts);
+    packed.manifest = make_sheet_manifest(number, packed.parts);
+    return packed;
+}
+
+} // namespace marjorampath
