--- /dev/null
+++ b/serving/platform/http_reader.cpp
@@ -0,0 +1,146 @@
+#include <serving/platform/http_reader.hpp>
+#include <serving/platform/platform_error.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+// The largest response head, in bytes
+constexpr std::uint32_t max_head_bytes = 16'384;
+
+std::error_code error_of_status(http::status status)
+{
+    switch (status)
+    {
+    case http::status::ok:
+        return {};
+    case http::status::not_found:
+        return platform_error::not_found;
+    case http::status::not_modified:
+        return platform_error::not_modified;
+    case http::status::too_many_requests:
+        return platform_error::rate_limited;
+    default:
+        return platform_error::unexpected_status;
+    }
+}
+
+std::uint64_t revision_of(http::response<http::string_body> const& answer)
+{
+    auto const text = answer["X-Revision"];
+    std::uint64_t revision = 0;
+    std::from_chars(text.data(), text.data() + text.size(), revision);
+    return revision;
+}
+
+} // namespace
+
+http_reader::http_reader(asio::any_io_executor const& executor, options values)
+    : options_(std::move(values)), stream_(executor)
+{
+}
+
+void http_reader::close()
+{
+    connected_ = false;
+    stream_.close();
+}
+
+asio::awaitable<boost::system::error_code> http_reader::connect()
+{
+    boost::system::error_code error;
+    stream_.close();
+    buffer_.clear();
+    stream_.expires_after(options_.timeout);
+    co_await stream_.async_connect(options_.server,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    connected_ = !error;
+    if (connected_)
+        stream_.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    co_return error;
+}
+
+asio::awaitable<http_read> http_reader::exchange(std::string const& target,
+                                                 std::chrono::milliseconds timeout)
+{
+    http_read result;
+    boost::system::error_code error;
+
+    // Send the request
+    http::request<http::empty_body> request{http::verb::get, target, 11};
+    request.set(http::field::host,
+                fmt::format("{}:{}", options_.server.address().to_string(),
+                            options_.server.port()));
+    stream_.expires_after(timeout);
+    co_await http::async_write(stream_, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+
+    // Read the answer within its bounds
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(max_head_bytes);
+    parser.body_limit(options_.max_body_bytes);
+    if (!error)
+        co_await http::async_read(stream_, buffer_, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+    {
+        close();
+        result.error = error;
+        co_return result;
+    }
+
+    auto answer = parser.release();
+    connected_ = answer.keep_alive();
+    result.error = error_of_status(answer.result());
+    result.revision = revision_of(answer);
+    result.body = std::move(answer.body());
+    co_return result;
+}
+
+asio::awaitable<http_read> http_reader::get(std::string target,
+                                            std::chrono::milliseconds extra_time)
+{
+    auto const timeout = options_.timeout + extra_time;
+
+    // A kept connection may have been closed by the server since
+    if (connected_)
+    {
+        auto result = co_await exchange(target, timeout);
+        auto const& closed = result.error;
+        bool const was_closed =
+            closed ==
+                std::error_code(boost::system::error_code(http::error::end_of_stream)) ||
+            closed == std::error_code(
+                          boost::system::error_code(asio::error::connection_reset)) ||
+            closed ==
+                std::error_code(boost::system::error_code(asio::error::broken_pipe));
+        if (!was_closed)
+            co_return result;
+    }
+
+    auto const error = co_await connect();
+    if (error)
+    {
+        http_read failed;
+        failed.error = error;
+        co_return failed;
+    }
+    co_return co_await exchange(target, timeout);
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/platform/platform_error.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <system_error>
+
+namespace marjorampath::serving
+{
+
+/// Why a read from a service of the platform gave no value.
+enum class platform_error
+{
+    /// The service does not have the value (404).
+    not_found = 1,
+    /// No newer revision came within the wait (304).
+    not_modified,
+    /// The service is above its rate of reads (429).
+    rate_limited,
+    /// The service answered with another status.
+    unexpected_status,
+    /// The answer was not understood.
+    malformed
+};
+
+/// The category of platform_error.
+std::error_category const& platform_error_category() noexcept;
+
+/// Makes an error code of a platform_error; found by argument-dependent look-up.
+std::error_code make_error_code(platform_error error) noexcept;
+
+} // namespace marjorampath::serving
+
+template <>
+struct std::is_error_code_enum<marjorampath::serving::platform_error> : std::true_type
+{
+};
