--- /dev/null
+++ b/serving/telemetry/event_catalogue.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace marjorampath::serving
+{
+
+/// Events that are written to the log. The enumerator's value is the event's number,
+/// which never changes and is never used again for another event.
+///
+/// 1xx: the process and its settings; 2xx: the sheet and the platform's services; 3xx:
+/// links and membership; 4xx: leases and ownership; 5xx: endpoints and adapters; 6xx:
+/// requests, keys and crash suspects; 7xx: administration.
+enum class event : std::uint16_t
+{
+    node_started = 100,
+    node_ready = 101,
+    shutdown_started = 102,
+    shutdown_finished = 103,
+    settings_rejected = 104,
+    settings_reloaded = 105,
+    pause_detected = 106,
+    internal_error = 107,
+    log_lines_lost = 108,
+    listener_opened = 109,
+    listener_failed = 110,
+
+    sheet_accepted = 200,
+    sheet_rejected = 201,
+    sheet_older_ignored = 202,
+    sheet_fetch_failed = 203,
+    configuration_unreachable = 204,
+    configuration_reachable = 205,
+    host_list_unreachable = 206,
+    host_list_changed = 207,
+
+    link_opened = 300,
+    link_lost = 301,
+    link_refused = 302,
+    link_version_unknown = 303,
+    member_suspected = 310,
+    member_dead = 311,
+    member_alive = 312,
+    member_left = 313,
+
+    lease_gained = 400,
+    lease_lost = 401,
+    lease_released = 402,
+    owner_changed = 403,
+    owner_unreachable = 404,
+    fencing_refused = 405,
+    reregistration_complete = 406,
+
+    endpoint_reachable = 500,
+    endpoint_lost = 501,
+    endpoint_restarted = 502,
+    endpoint_leaving = 503,
+    endpoint_ejected = 504,
+    adapter_loaded = 510,
+    adapter_unloaded = 511,
+    adapter_load_failed = 512,
+    adapter_missing = 513,
+    adapter_unwanted = 514,
+
+    request_failed = 600,
+    request_retried = 601,
+    request_shed = 602,
+    key_unknown = 610,
+    key_recovered = 611,
+    request_suspected = 620,
+    request_convicted = 621,
+    conviction_expired = 622,
+    conviction_released = 623,
+
+    admin_act = 700,
+    admin_refused = 701
+};
+
+/// How serious an event is.
+enum class severity : std::uint8_t
+{
+    /// Part of normal work.
+    info,
+    /// Handled, but worth a look in the morning.
+    warning,
+    /// Something was lost or refused that should not have been.
+    error
+};
+
+/// One row of the catalogue.
+struct event_entry
+{
+    /// The event; its value is its number.
+    event id;
+    /// How serious it is.
+    severity level;
+    /// Name that is written to the log.
+    std::string_view name;
+    /// What happened, and what to do where something is to be done.
+    std::string_view text;
+};
+
+/// The name of a severity.
+std::string_view to_string(severity level) noexcept;
+
+/// All events in rising order of their numbers.
+std::span<event_entry const> all_events() noexcept;
+
+/// The row of an event.
+event_entry const& entry_of(event id) noexcept;
+
+/// The catalogue as a page in Markdown: the content of docs/EVENTS.md.
+std::string event_catalogue_page();
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/telemetry/log.cpp
@@ -0,0 +1,44 @@
+#include <serving/telemetry/log.hpp>
+
+#include <algorithm>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+bool is_plain(char character)
+{
+    return character > ' ' && character != '"' && character != '\\' && character != '=' &&
+           character != 0x7f;
+}
+
+} // namespace
+
+void append_log_text(fmt::memory_buffer& line, std::string_view text)
+{
+    if (!text.empty() && std::ranges::all_of(text, is_plain))
+    {
+        line.append(text);
+        return;
+    }
+    line.push_back('"');
+    for (char const character : text)
+    {
+        if (character == '"' || character == '\\')
+            line.push_back('\\');
+
+        // Control characters could forge a line
+        if (static_cast<unsigned char>(character) < ' ' || character == 0x7f)
+        {
+            fmt::format_to(std::back_inserter(line), "\\x{:02x}",
+                           static_cast<unsigned char>(character));
+            continue;
+        }
+        line.push_back(character);
+    }
+    line.push_back('"');
+}
+
+} // namespace marjorampath::serving
