Name the list of held grants apart from the cell's registration

lease/grant_registration.hpp and cell/grant_registration.hpp both defined marjorampath::grant_registration, so no file could include both, and templates over the two types broke the one-definition rule. The list that an entry host sends to a new owner is now grant_list; the cell's event for one grant keeps its name.

The library builds and the unit tests pass.

--- a/marjorampath/lease/grant_registration.hpp
+++ b/marjorampath/lease/grant_list.hpp
@@ -10,7 +10,7 @@
 {
 
 /// An entry host's full list of the grants that it holds in a cell, sent to a new owner.
-struct grant_registration
+struct grant_list
 {
     /// Host that holds the grants.
     host_id entry;
--- a/marjorampath/lease/grant_recall.hpp
+++ b/marjorampath/lease/grant_recall.hpp
@@ -8,7 +8,7 @@
 {
 
 /// A new owner's question to an entry host: which grants do you hold in this cell?
-/// Answered by a `grant_registration`.
+/// Answered by a `grant_list`.
 struct grant_recall
 {
     /// The cell.
