Decide grants, loads and refusals in the cell

Cause: the node shell needs working decisions behind the cell's interface. Change: residency with indices by load, free slots and eviction order; queues by team with virtual time; admission by deadline; load permits; back-off, circuit breaker, retry budget; runs that must be alone.

--- /dev/null
+++ b/marjorampath/cell/cell_endpoints.cpp
@@ -0,0 +1,222 @@
+#include <marjorampath/cell/cell_state.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+
+namespace marjorampath
+{
+
+namespace
+{
+
+// Time after which a caller may find an endpoint that is missing now
+constexpr duration endpoint_retry = std::chrono::seconds(1);
+
+} // namespace
+
+void cell_state::report(endpoint_report const& report, time_point now, cell_actions& out)
+{
+    auto* found = placement.find_endpoint(report.endpoint);
+    if (found == nullptr)
+        found = &placement.add_endpoint(report.endpoint, report.kind);
+    auto& endpoint = *found;
+
+    // An older boot's report came late
+    if (report.boot_number < endpoint.boot_number)
+        return;
+    auto const restarted =
+        endpoint.boot_number != 0 && report.boot_number > endpoint.boot_number;
+    if (restarted)
+        clear_endpoint(endpoint, now);
+    endpoint.listed = true;
+    endpoint.zone = report.zone;
+    endpoint.slots = report.adapter_slots;
+    endpoint.concurrency = std::max(1U, report.concurrency);
+    endpoint.leaving = report.leaving;
+    endpoint.reachable = report.reachable;
+    endpoint.boot_number = report.boot_number;
+    placement.reindex(endpoint, now);
+    if (report.reachable)
+        reconcile(endpoint, report, now);
+    strand(endpoint, endpoint.leaving || !endpoint.reachable || endpoint.breaker.open(),
+           now);
+    for (auto& copy : endpoint.copies)
+        placement.reindex(endpoint, copy);
+    if (!endpoint.usable() && endpoint.alone != nullptr && !endpoint.alone->granted &&
+        (endpoint.leaving || !endpoint.reachable))
+        stop_alone(*endpoint.alone, now, out);
+    placement.reindex(endpoint, now);
+    fill(endpoint, now, out);
+    refuse_unservable(*endpoint.kind, now, out);
+}
+
+void cell_state::reconcile(endpoint_state& endpoint, endpoint_report const& report,
+                           time_point now)
+{
+    std::erase_if(endpoint.unloads, [&](auto const& unload)
+                  { return now - unload.when > options.report_lag; });
+
+    // What the engine has and was not known
+    for (auto const& id : report.resident)
+    {
+        auto& adapter = placement.adapter(*endpoint.kind, id);
+        auto const unloaded =
+            std::any_of(endpoint.unloads.begin(), endpoint.unloads.end(),
+                        [&](auto const& unload) { return unload.adapter == id; });
+        if (!unloaded && endpoint.find(&adapter) == nullptr)
+        {
+            placement.add_copy(
+                endpoint, adapter,
+                endpoint.stranded ? copy_state::draining : copy_state::resident, now);
+            update_wanted(adapter);
+        }
+    }
+
+    // What the engine does not have, unless the report may be older than the load
+    std::vector<adapter_state*> missing;
+    for (auto const& copy : endpoint.copies)
+    {
+        auto const held =
+            copy.state == copy_state::resident || copy.state == copy_state::draining;
+        auto const listed = std::find(report.resident.begin(), report.resident.end(),
+                                      copy.adapter->id) != report.resident.end();
+        if (held && !listed && copy.running == 0 &&
+            now - copy.changed > options.report_lag)
+            missing.push_back(copy.adapter);
+    }
+    for (auto* const adapter : missing)
+        drop_copy(endpoint, *adapter, now);
+}
+
+void cell_state::drop_copy(endpoint_state& endpoint, adapter_state& adapter,
+                           time_point now)
+{
+    placement.remove_copy(endpoint, adapter, now);
+    update_wanted(adapter);
+}
+
+void cell_state::clear_endpoint(endpoint_state& endpoint, time_point now)
+{
+    // The runs of the earlier boot are lost; their releases are still to come
+    ++endpoint.epoch;
+    endpoint.running = 0;
+    endpoint.prefixes.clear();
+    endpoint.unloads.clear();
+    endpoint.breaker.succeed();
+    endpoint.stranded = false;
+    if (endpoint.alone != nullptr && endpoint.alone->granted)
+        endpoint.alone = nullptr;
+    while (!endpoint.copies.empty())
+    {
+        auto const copy = endpoint.copies.back();
+        if (copy.state == copy_state::loading)
+            permits.finish();
+        if (copy.successor != nullptr)
+        {
+            --copy.successor->loading;
+            permits.finish();
+        }
+        drop_copy(endpoint, *copy.adapter, now);
+        if (copy.successor != nullptr)
+            update_wanted(*copy.successor);
+    }
+}
+
+void cell_state::refuse_unservable(kind_state& kind, time_point now, cell_actions& out)
+{
+    if (kind.usable > 0 || counts.queued == 0)
+        return;
+    std::vector<pending_request*> stuck;
+    for (auto* const request : expiries)
+        if (request->adapter->kind == &kind)
+            stuck.push_back(request);
+    for (auto* const request : stuck)
+    {
+        stop_alone(*request, now, out);
+        dequeue(*request);
+        refuse(*request, {error_kind::no_endpoint, endpoint_retry}, out);
+    }
+}
+
+void cell_state::gone(endpoint_state& endpoint, time_point now, cell_actions& out)
+{
+    endpoint.listed = false;
+    if (endpoint.alone != nullptr && !endpoint.alone->granted)
+        stop_alone(*endpoint.alone, now, out);
+    clear_endpoint(endpoint, now);
+
+    placement.reindex(endpoint, now);
+    refuse_unservable(*endpoint.kind, now, out);
+    sweep(endpoint);
+}
+
+void cell_state::sweep(endpoint_state& endpoint)
+{
+    if (!endpoint.listed && endpoint.grants == 0 && endpoint.copies.empty())
+        placement.erase_endpoint(endpoint);
+}
+
+void cell_state::registered(grant_registration const& grant, time_point now)
+{
+    auto const [found, added] = requests.try_emplace(grant.request);
+    if (!added)
+        return;
+    auto* known = placement.find_endpoint(grant.endpoint);
+    if (known == nullptr)
+    {
+        known = &placement.add_endpoint(grant.endpoint, grant.kind);
+        known->listed = false;
+    }
+    auto& endpoint = *known;
+    auto& kind = *endpoint.kind;
+    auto& request = found->second;
+    request.request = {.request = grant.request,
+                       .entry = grant.entry,
+                       .team = grant.team,
+                       .endpoints = kind.id,
+                       .adapter = grant.adapter,
+                       .isolated = grant.isolated};
+    request.sequence = next_sequence++;
+    request.arrived = now;
+    request.granted_at = now;
+    request.granted = true;
+    request.team = &team(kind, grant.team);
+    request.adapter = &placement.adapter(kind, grant.adapter);
+    ++request.adapter->references;
+    request.endpoint = &endpoint;
+    request.epoch = endpoint.epoch;
+    ++endpoint.running;
+    ++endpoint.grants;
+    ++counts.granted;
+    if (grant.isolated)
+        endpoint.alone = &request;
+    if (request.adapter->needs_load())
+    {
+        auto* copy = endpoint.find(request.adapter);
+        if (copy == nullptr)
+            copy = &placement.add_copy(endpoint, *request.adapter, copy_state::resident,
+                                       now);
+        ++copy->running;
+        placement.reindex(endpoint, *copy);
+        update_wanted(*request.adapter);
+    }
+    placement.reindex(endpoint, now);
+}
+
+void cell_state::settle(time_point now, cell_actions& out)
+{
+    expire(now, out);
+    plan_loads(now, out);
+    auto const kinds = kinds_alone;
+    for (auto* const kind : kinds)
+        serve_alone(*kind, now, out);
+
+    // Permits that are left over wait for an event, not for the time
+    next_permit.reset();
+    auto const waits = !wanted.empty() || !kinds_alone.empty();
+    if (waits && orders_allowed && !permits.transit_full() && !permits.available(now))
+        next_permit = permits.next(now);
+}
+
+} // namespace marjorampath
--- a/marjorampath/cell/cell_options.hpp
+++ b/marjorampath/cell/cell_options.hpp
@@ -26,6 +26,8 @@
     duration load_time = std::chrono::milliseconds(250);
     /// Largest number of queued requests of the cell.
     std::size_t queue_bound = 4'096;
+    /// Number of adapters above which idle ones are forgotten.
+    std::size_t adapter_bound = 32'768;
     /// Half-life of the demand estimate of an adapter.
     duration demand_half_life = std::chrono::seconds(120);
     /// Time for which an endpoint's report may lag behind the orders that it was given.
--- a/marjorampath/cell/grant_registration.hpp
+++ b/marjorampath/cell/grant_registration.hpp
@@ -14,6 +14,8 @@
     host_id entry;
     /// Endpoint that it runs at.
     endpoint_id endpoint;
+    /// Kind of the endpoint.
+    endpoint_kind_id kind;
     /// Adapter version that it uses; empty for plain services.
     adapter_version_id adapter;
     /// Team that it is accounted to.
--- /dev/null
+++ b/marjorampath/limits/token_bucket.cpp
@@ -0,0 +1,60 @@
+#include <marjorampath/limits/token_bucket.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+
+namespace marjorampath
+{
+
+namespace
+{
+
+// Difference that comes from rounding to nanoseconds
+constexpr double rounding_tolerance = 1e-6;
+
+} // namespace
+
+token_bucket::token_bucket(double rate, double burst) noexcept
+    : rate_(rate), burst_(burst), level_(burst)
+{
+}
+
+double token_bucket::level(time_point now) const noexcept
+{
+    std::chrono::duration<double> const passed = std::max(now - changed_, duration(0));
+    return std::min(burst_, level_ + passed.count() * rate_);
+}
+
+bool token_bucket::available(time_point now) const noexcept
+{
+    return level(now) >= 1.0 - rounding_tolerance;
+}
+
+void token_bucket::take(time_point now) noexcept
+{
+    assert(available(now));
+    level_ = level(now) - 1.0;
+    changed_ = std::max(changed_, now);
+}
+
+void token_bucket::add(double tokens) noexcept
+{
+    level_ = std::min(burst_, level_ + tokens);
+}
+
+time_point token_bucket::next(time_point now) const noexcept
+{
+    auto const missing = 1.0 - level(now);
+    if (missing <= rounding_tolerance)
+        return now;
+
+    // A rate of zero never refills; an hour stands for never
+    constexpr std::chrono::duration<double> never = std::chrono::hours(1);
+    auto const wait =
+        rate_ > 0 ? std::min(never, std::chrono::duration<double>(missing / rate_))
+                  : never;
+    return now + std::chrono::duration_cast<duration>(wait) + duration(1);
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/placement/residency.cpp
@@ -0,0 +1,219 @@
+#include <marjorampath/core/hash.hpp>
+#include <marjorampath/placement/residency.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace marjorampath
+{
+
+bool evictable_order::operator()(evictable_copy const& left,
+                                 evictable_copy const& right) const noexcept
+{
+    if (left.score != right.score)
+        return left.score < right.score;
+    if (left.endpoint->id != right.endpoint->id)
+        return left.endpoint->id < right.endpoint->id;
+    return left.adapter->id < right.adapter->id;
+}
+
+endpoint_state* residency::find_endpoint(endpoint_id id) noexcept
+{
+    auto const found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+endpoint_state& residency::add_endpoint(endpoint_id id, endpoint_kind_id kind_id)
+{
+    auto& added = endpoints_[id];
+    added.id = id;
+    added.kind = &kind(kind_id);
+    return added;
+}
+
+void residency::erase_endpoint(endpoint_state& endpoint)
+{
+    assert(endpoint.copies.empty() && endpoint.grants == 0 && !endpoint.listed);
+    assert(endpoint.load_key < 0 && endpoint.slots_key < 0);
+    endpoints_.erase(endpoint.id);
+}
+
+kind_state& residency::kind(endpoint_kind_id id)
+{
+    auto const found = kinds_.find(id);
+    if (found != kinds_.end())
+        return found->second;
+    auto& added = kinds_.try_emplace(id, token_time_).first->second;
+    added.id = id;
+    added.plain = &adapter(added, {});
+    return added;
+}
+
+adapter_state& residency::adapter(kind_state& kind, adapter_version_id id)
+{
+    auto& found = adapters_[hash_combine(kind.id.number(), id.number())];
+    found.id = id;
+    found.kind = &kind;
+    return found;
+}
+
+adapter_copy& residency::add_copy(endpoint_state& endpoint, adapter_state& adapter,
+                                  copy_state state, time_point now)
+{
+    assert(endpoint.find(&adapter) == nullptr);
+    auto& copy = endpoint.copies.emplace_back();
+    copy.adapter = &adapter;
+    copy.state = state;
+    copy.changed = now;
+    adapter.places.push_back(&endpoint);
+    count(copy, +1);
+    reindex(adapter);
+    reindex(endpoint, now);
+    return copy;
+}
+
+void residency::set_state(endpoint_state& endpoint, adapter_copy& copy, copy_state state,
+                          time_point now)
+{
+    count(copy, -1);
+    copy.state = state;
+    copy.changed = now;
+    count(copy, +1);
+
+    // The other copies are worth more or less by it
+    reindex(*copy.adapter);
+    reindex(endpoint, now);
+}
+
+void residency::remove_copy(endpoint_state& endpoint, adapter_state& adapter,
+                            time_point now)
+{
+    auto const found =
+        std::find_if(endpoint.copies.begin(), endpoint.copies.end(),
+                     [&](auto const& copy) { return copy.adapter == &adapter; });
+    assert(found != endpoint.copies.end());
+    if (found->indexed)
+        endpoint.kind->evictable.erase({found->score, &endpoint, &adapter});
+    count(*found, -1);
+    endpoint.copies.erase(found);
+    std::erase(adapter.places, &endpoint);
+    reindex(adapter);
+    reindex(endpoint, now);
+}
+
+void residency::count(adapter_copy const& copy, int step)
+{
+    if (copy.state == copy_state::resident)
+        copy.adapter->resident += static_cast<std::uint32_t>(step);
+    if (copy.state == copy_state::loading)
+        copy.adapter->loading += static_cast<std::uint32_t>(step);
+}
+
+void residency::count(endpoint_state& endpoint)
+{
+    auto& kind = *endpoint.kind;
+    auto const counted = endpoint.listed && endpoint.reachable && !endpoint.leaving;
+    auto const ejected = counted && endpoint.breaker.open();
+    auto const concurrency = counted ? endpoint.concurrency : 0;
+
+    kind.usable -= endpoint.counted ? 1 : 0;
+    kind.usable += counted ? 1 : 0;
+    kind.ejected -= endpoint.counted_ejected ? 1 : 0;
+    kind.ejected += ejected ? 1 : 0;
+    kind.concurrency -= endpoint.counted_concurrency;
+    kind.concurrency += concurrency;
+
+    endpoint.counted = counted;
+    endpoint.counted_ejected = ejected;
+    endpoint.counted_concurrency = concurrency;
+}
+
+void residency::reindex(endpoint_state& endpoint, time_point now)
+{
+    auto& kind = *endpoint.kind;
+    count(endpoint);
+
+    // By the part of the concurrency in use
+    auto const key = endpoint.has_room(now) ? endpoint.fill() : -1.0;
+    if (key != endpoint.load_key)
+    {
+        if (endpoint.load_key >= 0)
+            kind.by_fill.erase({endpoint.load_key, &endpoint});
+        if (key >= 0)
+            kind.by_fill.insert({key, &endpoint});
+        endpoint.load_key = key;
+    }
+
+    // By the free slots
+    auto const taken = endpoint.copies.size();
+    auto const has_slot =
+        endpoint.usable() && endpoint.breaker.allows(now) && taken < endpoint.slots;
+    auto const slots_key = has_slot ? static_cast<double>(taken) / endpoint.slots : -1.0;
+    if (slots_key != endpoint.slots_key)
+    {
+        if (endpoint.slots_key >= 0)
+            kind.free_slots.erase({endpoint.slots_key, &endpoint});
+        if (slots_key >= 0)
+            kind.free_slots.insert({slots_key, &endpoint});
+        endpoint.slots_key = slots_key;
+    }
+}
+
+void residency::reindex(adapter_state& adapter)
+{
+    for (auto* const endpoint : adapter.places)
+        if (auto* const copy = endpoint->find(&adapter))
+            reindex(*endpoint, *copy);
+}
+
+void residency::reindex(endpoint_state& endpoint, adapter_copy& copy)
+{
+    auto const wanted = is_evictable(endpoint, copy);
+    auto const score = wanted ? eviction_score(copy) : 0.0;
+    if (wanted == copy.indexed && score == copy.score)
+        return;
+    if (copy.indexed)
+        endpoint.kind->evictable.erase({copy.score, &endpoint, copy.adapter});
+    copy.indexed = wanted;
+    copy.score = score;
+    if (wanted)
+        endpoint.kind->evictable.insert({score, &endpoint, copy.adapter});
+}
+
+bool residency::is_evictable(endpoint_state const& endpoint, adapter_copy const& copy)
+{
+    if (copy.running > 0 || !endpoint.usable() || endpoint.stranded)
+        return false;
+    if (copy.state == copy_state::draining)
+        return true;
+
+    // The last copy stays while requests wait for it
+    return copy.state == copy_state::resident &&
+           (copy.adapter->queue.empty() || copy.adapter->resident > 1);
+}
+
+double residency::eviction_score(adapter_copy const& copy)
+{
+    // A copy that gets no requests is of no use
+    constexpr double lowest = -1e300;
+    if (copy.state == copy_state::draining)
+        return lowest;
+    return copy.adapter->demand.level() - std::log2(std::max(1U, copy.adapter->resident));
+}
+
+void residency::forget_idle_adapters(time_point now, duration half_life)
+{
+    constexpr double negligible = 1e-3;
+    std::erase_if(adapters_,
+                  [&](auto const& entry)
+                  {
+                      auto const& adapter = entry.second;
+                      return adapter.needs_load() && adapter.places.empty() &&
+                             adapter.queue.empty() && adapter.loading == 0 &&
+                             !adapter.wanted && adapter.references == 0 &&
+                             adapter.demand.recent(now, half_life) < negligible;
+                  });
+}
+
+} // namespace marjorampath
