Add leases by the oldest hosts as witnesses, and the membership

Cause: one host at a time may give an engine orders, without a disk, a consensus group or a coordination service; the witnesses come from the hosts' own knowledge of each other.

Change: lease_witness, witness_duty, witness_choice, lease_holder with lease_claim; membership (SWIM with suspicion, objection, indirect probes and local health) over a host_table. A host grants by its own view alone: listed, acquainted with each host of its zone that is not gone, and among the oldest for the time settle. So at most witnesses_per_zone hosts of a zone grant within a term, whatever list a candidate uses.

A fencing number is used only after a quorum remembers it.

The schedule test joins 6 hosts (10 with replacements) by a mock link with loss, delay, doubling and reordering, pauses, partitions, restarts, replacements, a host list that lags by up to 8 s and differs by host, clock rates that differ by 1 % and incarnations off by 20 s. It checks after each event that one host at most can give orders and that fencing numbers rise.

A reply to a probe now tells by which incarnation it knows the asker, and a host takes a higher one when it hears of an earlier process of its own.

--- /dev/null
+++ b/marjorampath/gossip/message_size.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <marjorampath/gossip/gossip.hpp>
+#include <marjorampath/key/key_begin.hpp>
+#include <marjorampath/key/key_begin_reply.hpp>
+#include <marjorampath/key/key_copy.hpp>
+#include <marjorampath/lease/lease_release.hpp>
+#include <marjorampath/lease/lease_reply.hpp>
+#include <marjorampath/lease/lease_request.hpp>
+#include <marjorampath/membership/indirect_probe.hpp>
+#include <marjorampath/membership/probe.hpp>
+#include <marjorampath/membership/probe_reply.hpp>
+
+#include <cstddef>
+
+namespace marjorampath
+{
+
+/// Estimates of the bytes that a message takes in Cap'n Proto encoding: eight bytes a
+/// word of data or pointer, and for messages `message_overhead` in addition.
+
+/// Bytes of a message beside its content: RPC call or return, segment table, TLS record,
+/// and TCP and IP headers.
+inline constexpr std::size_t message_overhead = 176;
+
+/// Bytes of one host record.
+std::size_t encoded_size(host_record const& record) noexcept;
+/// Bytes of the news on a probe or reply.
+std::size_t encoded_size(gossip const& news) noexcept;
+/// Bytes of a probe.
+std::size_t encoded_size(probe const& message) noexcept;
+/// Bytes of a reply to a probe.
+std::size_t encoded_size(probe_reply const& message) noexcept;
+/// Bytes of an indirect probe.
+std::size_t encoded_size(indirect_probe const& message) noexcept;
+/// Bytes of a request for leases.
+std::size_t encoded_size(lease_request const& message) noexcept;
+/// Bytes of a witness's answer.
+std::size_t encoded_size(lease_reply const& message) noexcept;
+/// Bytes of a release.
+std::size_t encoded_size(lease_release const& message) noexcept;
+/// Bytes of a question to a key's home.
+std::size_t encoded_size(key_begin const& message) noexcept;
+/// Bytes of a home's answer.
+std::size_t encoded_size(key_begin_reply const& message) noexcept;
+/// Bytes of a copy for the backup.
+std::size_t encoded_size(key_copy const& message) noexcept;
+
+} // namespace marjorampath
--- a/marjorampath/lease/lease_release.hpp
+++ b/marjorampath/lease/lease_release.hpp
@@ -17,6 +17,9 @@
     host_id holder;
     /// Its incarnation.
     std::uint64_t holder_incarnation = 0;
+    /// Number of the holder's latest request; a witness ignores requests that are not
+    /// younger, which may arrive late.
+    std::uint64_t request_number = 0;
     /// Host that the leases are reserved for during one term; empty for none.
     host_id successor;
     /// Resources that are released, with the fencing numbers used.
--- /dev/null
+++ b/marjorampath/membership/host_table.cpp
@@ -0,0 +1,307 @@
+#include <marjorampath/gossip/message_size.hpp>
+#include <marjorampath/membership/host_table.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace marjorampath
+{
+
+namespace
+{
+
+// Whether a claim replaces what is known: by incarnation, counter and severity
+bool overrides(host_record const& claim, host_record const& known) noexcept
+{
+    if (claim.incarnation != known.incarnation)
+        return claim.incarnation > known.incarnation;
+    if (claim.counter != known.counter)
+        return claim.counter > known.counter;
+    return claim.state > known.state;
+}
+
+bool before(known_host const& known, host_id host) noexcept
+{
+    return known.record.host < host;
+}
+
+} // namespace
+
+host_table::host_table(host_record self, membership_options options)
+    : options_(options), self_(self)
+{
+    add(self_.host, self_.zone, self_.region);
+    store_self();
+    spread(self_.host);
+}
+
+known_host const* host_table::find(host_id host) const
+{
+    auto const place = std::lower_bound(hosts_.begin(), hosts_.end(), host, before);
+    return place != hosts_.end() && place->record.host == host ? &*place : nullptr;
+}
+
+known_host* host_table::find_mutable(host_id host)
+{
+    auto const place = std::lower_bound(hosts_.begin(), hosts_.end(), host, before);
+    return place != hosts_.end() && place->record.host == host ? &*place : nullptr;
+}
+
+known_host& host_table::add(host_id host, zone_id zone, region_id region)
+{
+    auto const place = std::lower_bound(hosts_.begin(), hosts_.end(), host, before);
+    known_host added;
+    added.record.host = host;
+    added.record.zone = zone;
+    added.record.region = region;
+    states_[host] = {};
+    return *hosts_.insert(place, added);
+}
+
+void host_table::store_self()
+{
+    ++revision_;
+    auto& own = *find_mutable(self_.host);
+    own.record = self_;
+    own.acquainted = true;
+}
+
+void host_table::on_host_list(time_point now, std::span<listed_host const> list,
+                              membership_actions& actions)
+{
+    ++revision_;
+    for (auto& host : hosts_)
+        host.listed = false;
+    for (auto const& entry : list)
+    {
+        if (entry.region != self_.region)
+            continue;
+        auto* known = find_mutable(entry.host);
+        if (known == nullptr)
+        {
+            known = &add(entry.host, entry.zone, entry.region);
+            actions.push_back(host_changed{.host = entry.host});
+        }
+        known->listed = true;
+        known->list_leaving = entry.leaving;
+    }
+    on_tick(now, actions);
+}
+
+void host_table::merge(time_point now, host_record const& record, duration suspicion,
+                       membership_actions& actions)
+{
+    if (record.region != self_.region || record.incarnation == 0)
+        return;
+    if (record.host == self_.host)
+        return object(record, actions);
+
+    auto* known = find_mutable(record.host);
+    if (known == nullptr)
+    {
+        // Old news of hosts that are gone bring nobody back
+        if (record.state == host_state::dead)
+            return;
+        known = &add(record.host, record.zone, record.region);
+    }
+    if (record.incarnation < known->record.incarnation)
+        states_[record.host].contradict = true;
+    if (!overrides(record, known->record))
+        return;
+
+    auto const restarted =
+        known->record.incarnation != 0 && known->record.incarnation != record.incarnation;
+    auto const state = record.state;
+    ++revision_;
+    known->record.incarnation = record.incarnation;
+    known->record.counter = record.counter;
+    known->record.zone = record.zone;
+    if (state == host_state::suspect)
+        states_[record.host].dead_at = now + suspicion;
+    set_state(*known, state, restarted, actions);
+}
+
+void host_table::object(host_record const& claim, membership_actions& actions)
+{
+    if (claim.incarnation > self_.incarnation)
+    {
+        // An earlier process of this host, by a clock that was ahead
+        self_.incarnation = claim.incarnation + 1;
+        self_.counter = 0;
+        forget_acquaintances();
+        store_self();
+        spread(self_.host);
+        actions.push_back(own_incarnation_changed{.incarnation = self_.incarnation});
+        return;
+    }
+    if (claim.incarnation != self_.incarnation || claim.counter < self_.counter)
+        return;
+    if (claim.state <= self_.state)
+        return;
+    self_.counter = claim.counter + 1;
+    store_self();
+    spread(self_.host);
+}
+
+void host_table::on_answer(time_point now, host_id host, bool acquainted,
+                           membership_actions& actions)
+{
+    auto* const known = find_mutable(host);
+    if (known == nullptr)
+        return;
+    if (acquainted && !known->acquainted)
+    {
+        ++revision_;
+        known->acquainted = true;
+    }
+
+    // Its own objection follows; until then the answer itself counts here
+    if (known->record.state == host_state::suspect)
+        set_state(*known, host_state::alive, false, actions);
+    states_[host].gone_since.reset();
+    static_cast<void>(now);
+}
+
+void host_table::suspect(time_point now, host_id host, duration suspicion,
+                         membership_actions& actions)
+{
+    auto* const known = find_mutable(host);
+    if (known == nullptr || known->record.state >= host_state::suspect)
+        return;
+    states_[host].dead_at = now + suspicion;
+    set_state(*known, host_state::suspect, false, actions);
+}
+
+void host_table::on_tick(time_point now, membership_actions& actions)
+{
+    std::vector<host_id> forgotten;
+    for (auto& host : hosts_)
+    {
+        auto& state = states_[host.record.host];
+        if (host.record.state == host_state::suspect && state.dead_at <= now)
+            set_state(host, host_state::dead, false, actions);
+        if (!host.gone())
+        {
+            state.gone_since.reset();
+            continue;
+        }
+        if (!state.gone_since)
+            state.gone_since = now;
+        if (now - *state.gone_since > options_.memory)
+            forgotten.push_back(host.record.host);
+    }
+    for (auto const& host : forgotten)
+    {
+        ++revision_;
+        states_.erase(host);
+        std::erase_if(hosts_,
+                      [&](auto const& known) { return known.record.host == host; });
+    }
+}
+
+void host_table::set_state(known_host& host, host_state state, bool restarted,
+                           membership_actions& actions)
+{
+    auto const changed = host.record.state != state || restarted;
+    ++revision_;
+    host.record.state = state;
+    spread(host.record.host);
+    if (changed)
+        actions.push_back(host_changed{
+            .host = host.record.host, .state = state, .restarted = restarted});
+}
+
+std::uint64_t host_table::highest_incarnation() const
+{
+    std::uint64_t highest = 0;
+    for (auto const& host : hosts_)
+        highest = std::max(highest, host.record.incarnation);
+    return highest;
+}
+
+void host_table::renew_incarnation(membership_actions& actions)
+{
+    self_.incarnation = highest_incarnation() + 1;
+    self_.counter = 0;
+    forget_acquaintances();
+    store_self();
+    spread(self_.host);
+    actions.push_back(own_incarnation_changed{.incarnation = self_.incarnation});
+}
+
+void host_table::join(membership_actions& actions)
+{
+    auto const highest = highest_incarnation();
+    if (self_.incarnation == highest)
+        return;
+    self_.incarnation = highest + 1;
+    forget_acquaintances();
+    store_self();
+    spread(self_.host);
+    actions.push_back(own_incarnation_changed{.incarnation = self_.incarnation});
+}
+
+void host_table::forget_acquaintances()
+{
+    ++revision_;
+    for (auto& host : hosts_)
+        host.acquainted = false;
+}
+
+void host_table::leave()
+{
+    self_.state = host_state::leaving;
+    ++self_.counter;
+    store_self();
+    spread(self_.host);
+}
+
+void host_table::spread(host_id host)
+{
+    auto const count = static_cast<std::uint32_t>(hosts_.size());
+    states_[host].sends_left = options_.spread_factor * std::bit_width(count);
+}
+
+std::vector<host_record> host_table::take_news(host_id receiver)
+{
+    std::vector<host_record> news;
+
+    // What the receiver has to object to
+    auto const* const known = find(receiver);
+    if (known != nullptr && known->record.incarnation != 0 &&
+        (known->record.state >= host_state::suspect || states_[receiver].contradict))
+    {
+        states_[receiver].contradict = false;
+        news.push_back(known->record);
+    }
+
+    std::vector<known_host const*> waiting;
+    for (auto const& host : hosts_)
+    {
+        auto const self = host.record.host == self_.host;
+        if (!self && host.record.host != receiver && host.record.incarnation != 0 &&
+            states_[host.record.host].sends_left > 0)
+            waiting.push_back(&host);
+    }
+    std::sort(waiting.begin(), waiting.end(),
+              [&](auto const* left, auto const* right)
+              {
+                  auto const left_sends = states_[left->record.host].sends_left;
+                  auto const right_sends = states_[right->record.host].sends_left;
+                  return left_sends != right_sends
+                             ? left_sends > right_sends
+                             : left->record.host < right->record.host;
+              });
+
+    auto const room = options_.gossip_bytes / encoded_size(host_record{});
+    for (auto const* host : waiting)
+    {
+        if (news.size() >= room)
+            break;
+        --states_[host->record.host].sends_left;
+        news.push_back(host->record);
+    }
+    return news;
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/membership/listed_host.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+
+namespace marjorampath
+{
+
+/// An entry host as the host list shows it.
+struct listed_host
+{
+    /// The host.
+    host_id host;
+    /// Its zone.
+    zone_id zone;
+    /// Its region.
+    region_id region;
+    /// Whether it is leaving.
+    bool leaving = false;
+};
+
+} // namespace marjorampath
--- a/marjorampath/membership/probe_reply.hpp
+++ b/marjorampath/membership/probe_reply.hpp
@@ -18,6 +18,9 @@
     /// The host that was found alive: the sender itself, or the subject of an
     /// `indirect_probe`.
     host_id subject;
+    /// Incarnation of the asker by the sender's knowledge. Where it is not the asker's
+    /// own, the two are not acquainted.
+    std::uint64_t asker_incarnation = 0;
     /// News.
     gossip news;
 };
--- /dev/null
+++ b/tests/unit/fleet/schedule_seeds.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+namespace marjorampath::test
+{
+
+/// The seeds of a schedule test: `count` from `first` on, or the single one that the
+/// environment variable MARJORAMPATH_SEED names. MARJORAMPATH_SCHEDULES sets another
+/// count.
+inline std::vector<std::uint64_t> schedule_seeds(std::uint64_t first, std::uint64_t count)
+{
+    if (char const* const seed = std::getenv("MARJORAMPATH_SEED"))
+        return {std::stoull(seed)};
+    if (char const* const schedules = std::getenv("MARJORAMPATH_SCHEDULES"))
+        count = std::stoull(schedules);
+    std::vector<std::uint64_t> seeds;
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+        seeds.push_back(seed);
+    return seeds;
+}
+
+} // namespace marjorampath::test
