--- /dev/null
+++ b/marjorampath/capacity/measured_slopes.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace marjorampath
+{
+
+/// What one unit of each thing costs. Read from the file of measured slopes, where each
+/// value stands with the command that measured it.
+struct measured_slopes
+{
+    /// Bytes of a probe and its reply with their gossip.
+    double probe_bytes = 0;
+    /// Bytes of a lease renewal and its reply without resources.
+    double lease_bytes = 0;
+    /// Further bytes for each resource in a renewal and its reply.
+    double lease_resource_bytes = 0;
+    /// Bytes of a grant's question, answer and release together.
+    double grant_bytes = 0;
+    /// Bytes of an engine's report with its request.
+    double engine_report_bytes = 0;
+    /// Bytes of beginning, copying and completing one key.
+    double key_bytes = 0;
+    /// Bytes that one changed sheet costs a host that fetches it.
+    double sheet_change_bytes = 0;
+    /// Processor time of one call between hosts, both sides, in microseconds.
+    double call_us = 0;
+    /// Processor time of one decision of a cell, in microseconds.
+    double decision_us = 0;
+    /// Processor time of reading one report of an engine, in microseconds.
+    double engine_report_us = 0;
+    /// Processor time of reading the sheet for each adapter, in microseconds.
+    double sheet_adapter_us = 0;
+    /// Memory of the sheet for each adapter, in bytes.
+    double sheet_adapter_memory = 0;
+    /// Memory of a host record, in bytes.
+    double host_memory = 0;
+    /// Memory of an engine in its cell, in bytes.
+    double engine_memory = 0;
+    /// Memory of a known adapter version in a cell, in bytes.
+    double cell_adapter_memory = 0;
+    /// Memory of a remembered key, in bytes.
+    double key_memory = 0;
+    /// Memory of the control part of an idle node, in bytes.
+    double base_memory = 0;
+};
+
+/// The name of a slope in the file and where it is kept.
+struct slope_field
+{
+    /// Name in the file.
+    std::string_view name;
+    /// Member that holds it.
+    double measured_slopes::*member;
+};
+
+/// All slopes.
+inline constexpr std::array slope_fields{
+    slope_field{"probe_bytes", &measured_slopes::probe_bytes},
+    slope_field{"lease_bytes", &measured_slopes::lease_bytes},
+    slope_field{"lease_resource_bytes", &measured_slopes::lease_resource_bytes},
+    slope_field{"grant_bytes", &measured_slopes::grant_bytes},
+    slope_field{"engine_report_bytes", &measured_slopes::engine_report_bytes},
+    slope_field{"key_bytes", &measured_slopes::key_bytes},
+    slope_field{"sheet_change_bytes", &measured_slopes::sheet_change_bytes},
+    slope_field{"call_us", &measured_slopes::call_us},
+    slope_field{"decision_us", &measured_slopes::decision_us},
+    slope_field{"engine_report_us", &measured_slopes::engine_report_us},
+    slope_field{"sheet_adapter_us", &measured_slopes::sheet_adapter_us},
+    slope_field{"sheet_adapter_memory", &measured_slopes::sheet_adapter_memory},
+    slope_field{"host_memory", &measured_slopes::host_memory},
+    slope_field{"engine_memory", &measured_slopes::engine_memory},
+    slope_field{"cell_adapter_memory", &measured_slopes::cell_adapter_memory},
+    slope_field{"key_memory", &measured_slopes::key_memory},
+    slope_field{"base_memory", &measured_slopes::base_memory},
+};
+
+} // namespace marjorampath
