Measure the placement policy in virtual time beside baselines

Cause: the policy needs a measurement that a change can be judged by. Change: marjorampath-bench policy drives the real cell before fake engines and a fake store; baselines round robin, least loaded and rendezvous with LRU, and a clairvoyant reference.

--- /dev/null
+++ b/programs/marjorampath-bench/main.cpp
@@ -0,0 +1,51 @@
+#include <programs/marjorampath-bench/subcommand.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <cstdio>
+#include <exception>
+
+using marjorampath::bench::subcommand;
+
+namespace
+{
+
+constexpr std::array subcommands{
+    subcommand{"policy", "the placement and load policy in virtual time",
+               marjorampath::bench::run_policy},
+};
+
+int print_usage()
+{
+    fmt::print(stderr, "usage: marjorampath-bench SUBCOMMAND [OPTIONS]\n");
+    for (auto const& each : subcommands)
+        fmt::print(stderr, "  {:14} {}\n", each.name, each.summary);
+    return 2;
+}
+
+} // namespace
+
+/// Measurements of the system and of its parts.
+int main(int argc, char** argv)
+{
+    if (argc < 2)
+        return print_usage();
+
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    for (auto const& each : subcommands)
+    {
+        if (each.name != arguments.front())
+            continue;
+        try
+        {
+            return each.run(arguments);
+        }
+        catch (std::exception const& error)
+        {
+            fmt::print(stderr, "{}: {}\n", each.name, error.what());
+            return 1;
+        }
+    }
+    return print_usage();
+}
--- /dev/null
+++ b/programs/marjorampath-bench/policy_scenarios.cpp
@@ -0,0 +1,98 @@
+#include <programs/marjorampath-bench/policy_scenarios.hpp>
+
+#include <chrono>
+
+namespace marjorampath::bench
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+scenario ennstal(std::string const& name)
+{
+    return {.name = "ennstal-" + name,
+            .profile = "ennstal",
+            .engines = 9,
+            .loads_per_second = 2,
+            .rate = 8,
+            .mean_tokens = 64,
+            .time_limit = 10s,
+            .team_parts = {0.5, 0.5}};
+}
+
+scenario trazalgodon(std::string const& name)
+{
+    return {.name = "traz-" + name,
+            .profile = "trazalgodon",
+            .engines = 12,
+            .loads_per_second = 3,
+            .rate = 12,
+            .mean_tokens = 300,
+            .time_limit = 90s,
+            .team_parts = {0.4, 0.3, 0.2, 0.1}};
+}
+
+template <class Make>
+void add_customer(std::vector<scenario>& all, Make const& make)
+{
+    all.push_back(make("steady"));
+    auto large = make("10000");
+    large.adapters = 10'000;
+    all.push_back(large);
+    auto shift = make("shift");
+    shift.change = popularity_change::shift;
+    all.push_back(shift);
+    auto waking = make("waking");
+    waking.change = popularity_change::waking;
+    waking.length = 1h;
+    all.push_back(waking);
+    auto burst = make("burst");
+    burst.change = popularity_change::burst;
+    all.push_back(burst);
+    auto faults = make("faults");
+    faults.restart_every = 30min;
+    faults.load_failure = 0.05;
+    all.push_back(faults);
+    auto restart = make("restart-all");
+    restart.restart_all = true;
+    all.push_back(restart);
+
+    // Month-end: what the engines can serve at most, and twice that, with one team in
+    // excess. Popularity is steeper, so that engines and not the store are the limit.
+    auto const capacity = make("").engines * 16 / 0.030 / make("").mean_tokens;
+    for (auto const factor : {0.8, 1.0, 2.0})
+    {
+        auto overload = make("load-" + std::to_string(factor).substr(0, 3));
+        overload.zipf = 1.6;
+        overload.rate = capacity * factor;
+        overload.team_parts = {0.7, 0.1, 0.1, 0.1};
+        overload.length = 5min;
+        all.push_back(overload);
+    }
+}
+
+} // namespace
+
+std::vector<scenario> all_scenarios()
+{
+    std::vector<scenario> all;
+    add_customer(all, ennstal);
+    add_customer(all, trazalgodon);
+    return all;
+}
+
+scenario scaled_scenario(std::uint32_t engines)
+{
+    auto scaled = ennstal("scale-" + std::to_string(engines));
+    auto const factor = engines / 9.0;
+    scaled.engines = engines;
+    scaled.rate *= factor;
+    scaled.loads_per_second *= factor;
+    scaled.adapters = 10'000;
+    scaled.length = duration(static_cast<std::int64_t>(900e9 / factor)) + 60s;
+    return scaled;
+}
+
+} // namespace marjorampath::bench
--- /dev/null
+++ b/programs/marjorampath-bench/policy_world.cpp
@@ -0,0 +1,141 @@
+#include <programs/marjorampath-bench/policy_world.hpp>
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <chrono>
+#include <stdexcept>
+
+namespace marjorampath::bench
+{
+
+namespace
+{
+
+// Time that an engine takes to unload an adapter
+constexpr duration unload_time = std::chrono::milliseconds(2);
+
+void require(bool condition, char const* text)
+{
+    if (!condition)
+        throw std::logic_error(text);
+}
+
+} // namespace
+
+world::world(scenario const& scenario, trace const& trace, std::uint64_t seed)
+    : chosen(scenario), made(trace), engines(scenario.engines),
+      boots(scenario.engines, 1), store(scenario.loads_per_second),
+      records(trace.requests.size()), random_(seed)
+{
+    for (std::size_t index = 0; index < trace.requests.size(); ++index)
+        schedule(time_point(trace.requests[index].at), event_kind::arrival,
+                 static_cast<std::uint32_t>(index));
+    for (auto const& restart : trace.restarts)
+        schedule(time_point(restart.at), event_kind::restart, 0, restart.engine);
+}
+
+void world::schedule(time_point at, event_kind kind, std::uint32_t subject,
+                     std::uint32_t engine, std::uint64_t generation)
+{
+    events_.push({at, next_sequence_++, kind, subject, engine, generation});
+}
+
+std::optional<event> world::next()
+{
+    if (events_.empty())
+        return std::nullopt;
+    auto const first = events_.top();
+    events_.pop();
+    now = first.at;
+    return first;
+}
+
+bool world::measures() const
+{
+    return now >= time_point(made.measured_from) && now <= time_point(made.end);
+}
+
+bool world::draw_failure()
+{
+    boost::random::uniform_real_distribution<double> uniform(0, 1);
+    return uniform(random_) < made.load_failure;
+}
+
+bool world::is_resident(std::uint32_t adapter) const
+{
+    return std::any_of(engines.begin(), engines.end(),
+                       [&](fake_engine const& engine)
+                       { return engine.resident.contains(adapter); });
+}
+
+void world::forecast(std::uint32_t engine)
+{
+    if (auto const when = engines[engine].next_finish(now))
+        schedule(*when, event_kind::finish, 0, engine, engines[engine].generation);
+}
+
+void world::start(std::uint32_t request, std::uint32_t engine)
+{
+    auto& record = records[request];
+    auto const& asked = made.requests[request];
+    auto& target = engines[engine];
+    auto const held = target.resident.find(asked.adapter);
+    require(record.state == request_state::waiting, "a request runs twice");
+    require(held != target.resident.end(), "the engine does not hold the adapter");
+    require(target.running() < chosen.concurrency, "the engine is full");
+    record.state = request_state::running;
+    record.engine = engine;
+
+    // It waited for the adapter from its arrival until the load finished
+    auto const arrived = time_point(asked.at);
+    record.stall =
+        std::max({record.stall, held->second.loaded_at - arrived, duration(0)});
+    target.advance(now);
+    target.start(request, asked, now);
+    forecast(engine);
+}
+
+void world::refuse(std::uint32_t request)
+{
+    auto& record = records[request];
+    auto const& asked = made.requests[request];
+    require(record.state == request_state::waiting, "a request is refused that ran");
+    record.state = request_state::not_run;
+
+    // Without its adapter it could never have run: all its time is lost
+    if (!is_resident(asked.adapter))
+        record.stall = asked.time_limit;
+}
+
+void world::cut(std::uint32_t request)
+{
+    auto& record = records[request];
+    record.state = request_state::cut;
+    engines[record.engine].stop(request, now);
+    forecast(record.engine);
+}
+
+void world::load(std::uint32_t engine, std::uint32_t adapter)
+{
+    if (measures())
+        ++loads;
+    schedule(store.start_time(now), event_kind::load_start, adapter, engine,
+             boots[engine]);
+}
+
+void world::unload(std::uint32_t engine, std::uint32_t adapter)
+{
+    if (measures())
+        ++unloads;
+    require(engines[engine].resident.erase(adapter) == 1, "unloads what is not there");
+    schedule(now + unload_time, event_kind::unload_end, adapter, engine, boots[engine]);
+}
+
+void world::wake_at(time_point when)
+{
+    schedule(std::max(when, now), event_kind::wake);
+}
+
+} // namespace marjorampath::bench
--- /dev/null
+++ b/programs/marjorampath-bench/subcommand.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marjorampath::bench
+{
+
+/// A part of the program that the first argument selects.
+struct subcommand
+{
+    /// Name on the command line.
+    std::string_view name;
+    /// One line for the help text.
+    std::string_view summary;
+    /// Runs it with the remaining arguments, the first being the subcommand's name;
+    /// returns the exit status.
+    int (*run)(std::vector<std::string>& arguments);
+};
+
+/// The placement and load policy in virtual time, beside baselines.
+int run_policy(std::vector<std::string>& arguments);
+
+} // namespace marjorampath::bench
