Carry requests from callers to engines and plain services

Change: marjorampathd with checked YAML settings; callers over HTTP on several traffic threads; routes, limits and the closed list of errors; grants asked of the control thread through a narrow service; engines spoken to in the vLLM dialect with ADAPTER@VERSION; streams passed on event by event, resumed or restarted behind a cut; plain services passed through; load orders, load reports and a graceful shutdown. Retry decisions are a pure state machine that says not-run only where it is certain. No latency or throughput measured yet.

--- /dev/null
+++ b/serving/caller/caller_listener.cpp
@@ -0,0 +1,129 @@
+#include <serving/caller/caller_listener.hpp>
+#include <serving/caller/caller_session.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+#include <utility>
+#include <vector>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+// Pause after a failed accept, as when no file descriptor is left
+constexpr auto accept_pause = std::chrono::milliseconds(50);
+
+} // namespace
+
+caller_listener::caller_listener(traffic_context& context)
+    : context_(&context), acceptor_(context.loop)
+{
+}
+
+caller_listener::~caller_listener() = default;
+
+error_code caller_listener::listen(tcp::endpoint const& address)
+{
+    error_code error;
+    acceptor_.open(address.protocol(), error);
+    if (!error)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor_.set_option(reuse_port(true), error);
+    if (!error)
+        acceptor_.bind(address, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    return error;
+}
+
+tcp::endpoint caller_listener::address() const
+{
+    error_code ignored;
+    return acceptor_.local_endpoint(ignored);
+}
+
+void caller_listener::start()
+{
+    asio::co_spawn(context_->loop, accept(), asio::detached);
+}
+
+asio::awaitable<void> caller_listener::accept()
+{
+    asio::steady_timer pause(context_->loop);
+    while (acceptor_.is_open())
+    {
+        error_code error;
+        auto socket = co_await acceptor_.async_accept(
+            asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+        {
+            serve(std::move(socket));
+            continue;
+        }
+        if (error == asio::error::operation_aborted)
+            break;
+        pause.expires_after(accept_pause);
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+void caller_listener::serve(tcp::socket socket)
+{
+    if (sessions_.size() >= context_->limits.max_connections)
+        return;
+    auto session = std::make_shared<caller_session>(std::move(socket), *context_);
+    sessions_.insert(session);
+    asio::co_spawn(context_->loop, session->run(),
+                   [this, session](std::exception_ptr const& /*failure*/)
+                   { forget(session); });
+}
+
+void caller_listener::forget(std::shared_ptr<caller_session> const& session)
+{
+    sessions_.erase(session);
+    if (sessions_.empty() && drained_)
+        std::exchange(drained_, nullptr)();
+}
+
+void caller_listener::empty_backlog()
+{
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error)
+    {
+        auto socket = acceptor_.accept(error);
+        if (!error)
+            serve(std::move(socket));
+    }
+}
+
+void caller_listener::stop(std::function<void()> drained)
+{
+    empty_backlog();
+    error_code ignored;
+    acceptor_.close(ignored);
+
+    // A session that ends at once changes the set
+    std::vector<std::shared_ptr<caller_session>> const open(sessions_.begin(),
+                                                            sessions_.end());
+    for (auto const& session : open)
+        session->stop();
+
+    drained_ = std::move(drained);
+    if (sessions_.empty() && drained_)
+        std::exchange(drained_, nullptr)();
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/caller/exchange_control.cpp
@@ -0,0 +1,52 @@
+#include <serving/caller/exchange_control.hpp>
+#include <serving/node/grant_client.hpp>
+
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+exchange_control::exchange_control(boost::asio::any_io_executor executor,
+                                   grant_client& grants,
+                                   std::function<void()> unblock_caller)
+    : grants_(&grants), unblock_caller_(std::move(unblock_caller)),
+      timer_(std::move(executor))
+{
+}
+
+void exchange_control::start_deadline(duration time_left)
+{
+    timer_.expires_after(time_left);
+    timer_.async_wait(
+        [weak = weak_from_this()](boost::system::error_code error)
+        {
+            auto const self = weak.lock();
+            if (!error && self)
+                self->abort(error_kind::deadline_exceeded);
+        });
+}
+
+void exchange_control::abort(error_kind reason)
+{
+    if (reason_ != error_kind::none)
+        return;
+    reason_ = reason;
+
+    // Closing the connection also tells the endpoint to cancel the run
+    boost::system::error_code ignored;
+    if (connection_)
+        connection_->close(ignored);
+    if (waiting_)
+        grants_->cancel(waiting_);
+    if (unblock_caller_)
+        unblock_caller_();
+}
+
+void exchange_control::finish()
+{
+    timer_.cancel();
+    unblock_caller_ = nullptr;
+    connection_ = nullptr;
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/caller/exchange_control.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <marjorampath/core/error_kind.hpp>
+#include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/time.hpp>
+#include <serving/endpoint/connection_pool.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace marjorampath::serving
+{
+
+class grant_client;
+
+/// Ends an exchange from outside: at its deadline or when the caller goes away. What the
+/// exchange waits for then fails, and it reads the reason here.
+class exchange_control : public std::enable_shared_from_this<exchange_control>
+{
+public:
+    /// Makes the control of one exchange. `unblock_caller` ends a write to the caller
+    /// that is under way.
+    exchange_control(boost::asio::any_io_executor executor, grant_client& grants,
+                     std::function<void()> unblock_caller);
+
+    /// Ends the exchange when the time is over.
+    void start_deadline(duration time_left);
+
+    /// Ends the exchange with a reason; later reasons are ignored.
+    void abort(error_kind reason);
+
+    /// The exchange is over; nothing is ended from now on.
+    void finish();
+
+    /// The exchange waits for this grant.
+    void set_waiting(request_id request) noexcept
+    {
+        waiting_ = request;
+    }
+
+    /// The exchange uses this connection, or none.
+    void set_connection(endpoint_connection connection) noexcept
+    {
+        connection_ = std::move(connection);
+    }
+
+    /// Why the exchange was ended, or `none`.
+    [[nodiscard]] error_kind reason() const noexcept
+    {
+        return reason_;
+    }
+
+private:
+    // Grants of this thread
+    grant_client* grants_;
+    // Ends a write to the caller
+    std::function<void()> unblock_caller_;
+    // Fires at the deadline
+    boost::asio::steady_timer timer_;
+    // Grant that is waited for
+    request_id waiting_;
+    // Connection in use
+    endpoint_connection connection_;
+    // Why the exchange was ended
+    error_kind reason_ = error_kind::none;
+};
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/endpoint/answer_reader.cpp
@@ -0,0 +1,125 @@
+#include <serving/endpoint/answer_reader.hpp>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <array>
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// Largest number of bytes read in one step
+constexpr std::size_t read_bytes = 32'768;
+
+// One buffer a thread: nothing stays in it while a coroutine waits
+std::array<char, read_bytes>& thread_buffer() noexcept
+{
+    thread_local std::array<char, read_bytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+answer_reader::answer_reader(endpoint_connection connection)
+    : connection_(std::move(connection))
+{
+    parser_.header_limit(max_answer_head_bytes);
+    parser_.body_limit(boost::none);
+    parser_.eager(true);
+}
+
+error_code answer_reader::parse(char const* bytes, std::size_t size, std::string& output)
+{
+    parser_.get().body().output = &output;
+    error_code error;
+    std::size_t used = 0;
+    while (used < size && !parser_.is_done())
+    {
+        auto const step = parser_.put(asio::buffer(bytes + used, size - used), error);
+        used += step;
+        if (error || step == 0)
+            break;
+    }
+    if (error == http::error::need_more)
+        error = {};
+    std::string rest(bytes + used, size - used);
+    unparsed_ = std::move(rest);
+    return error;
+}
+
+asio::awaitable<error_code> answer_reader::read_and_parse(std::string& output)
+{
+    error_code error;
+    co_await connection_->async_wait(tcp::socket::wait_read,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return error;
+
+    auto& buffer = thread_buffer();
+    auto const size = connection_->read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block)
+        co_return error_code();
+    if (error == asio::error::eof && parser_.is_header_done())
+    {
+        // The end of an answer without a length, or a cut one
+        parser_.put_eof(error);
+        co_return error ? error : error_code();
+    }
+    if (error)
+        co_return error;
+
+    if (unparsed_.empty())
+        co_return parse(buffer.data(), size, output);
+    auto joined = std::move(unparsed_);
+    joined.append(buffer.data(), size);
+    co_return parse(joined.data(), joined.size(), output);
+}
+
+asio::awaitable<error_code> answer_reader::read_head()
+{
+    error_code error;
+    while (!error && !parser_.is_header_done())
+        error = co_await read_and_parse(early_);
+    co_return error;
+}
+
+asio::awaitable<error_code> answer_reader::read_some(std::string& output)
+{
+    if (!early_.empty())
+    {
+        output += early_;
+        early_ = std::string();
+        co_return error_code();
+    }
+    auto const before = output.size();
+    error_code error;
+    while (!error && !parser_.is_done() && output.size() == before)
+        error = co_await read_and_parse(output);
+    co_return error;
+}
+
+asio::awaitable<error_code> answer_reader::read_rest(std::string& output,
+                                                     std::size_t limit)
+{
+    error_code error;
+    while (!error && (!early_.empty() || !parser_.is_done()))
+    {
+        error = co_await read_some(output);
+        if (output.size() > limit)
+            error = http::error::body_limit;
+    }
+    co_return error;
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/endpoint/connection_pool.cpp
@@ -0,0 +1,90 @@
+#include <serving/clock/boot_time.hpp>
+#include <serving/endpoint/connection_pool.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <sys/socket.h>
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Whether an idle connection is open and has nothing unread
+bool is_quiet(tcp::socket& socket) noexcept
+{
+    char byte = 0;
+    auto const received =
+        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+connection_pool::connection_pool(asio::any_io_executor executor,
+                                 connection_pool_options options)
+    : executor_(std::move(executor)), options_(options)
+{
+}
+
+endpoint_connection connection_pool::take_idle(directory_entry const& endpoint)
+{
+    auto const found = idle_.find(endpoint.id);
+    if (found == idle_.end())
+        return nullptr;
+
+    auto const oldest = boot_now() - options_.max_idle_time;
+    auto& kept = found->second;
+    while (!kept.empty())
+    {
+        auto const last = std::move(kept.back());
+        kept.pop_back();
+        --idle_count_;
+        if (last.since >= oldest && last.address == endpoint.address &&
+            is_quiet(*last.connection))
+            return last.connection;
+    }
+    idle_.erase(found);
+    return nullptr;
+}
+
+endpoint_connection connection_pool::make_socket() const
+{
+    return std::make_shared<tcp::socket>(executor_);
+}
+
+asio::awaitable<boost::system::error_code>
+connection_pool::connect(endpoint_connection connection, tcp::endpoint address)
+{
+    boost::system::error_code error;
+    co_await connection->async_connect(address,
+                                       asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return error;
+    connection->set_option(tcp::no_delay(true), error);
+    if (!error)
+        connection->non_blocking(true, error);
+    co_return error;
+}
+
+void connection_pool::put_back(directory_entry const& endpoint,
+                               endpoint_connection connection)
+{
+    if (idle_count_ >= options_.max_idle)
+        return;
+    auto& kept = idle_[endpoint.id];
+    if (kept.size() >= options_.max_idle_per_endpoint)
+        return;
+    kept.push_back({.connection = std::move(connection),
+                    .since = boot_now(),
+                    .address = endpoint.address});
+    ++idle_count_;
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/endpoint/http_fetch.cpp
@@ -0,0 +1,62 @@
+#include <serving/endpoint/http_fetch.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+} // namespace
+
+asio::awaitable<http_fetch_result> http_fetch(asio::ip::tcp::endpoint address,
+                                              http::request<http::string_body> request,
+                                              http_fetch_options options)
+{
+    http_fetch_result result;
+    auto const executor = co_await asio::this_coro::executor;
+    beast::tcp_stream stream(executor);
+    stream.expires_after(options.timeout);
+
+    auto& error = result.error;
+    co_await stream.async_connect(address,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return result;
+
+    request.set(http::field::host,
+                fmt::format("{}:{}", address.address().to_string(), address.port()));
+    request.keep_alive(false);
+    request.prepare_payload();
+    co_await http::async_write(stream, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return result;
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(options.max_body_bytes);
+    co_await http::async_read(stream, buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        result.answer = parser.release();
+    co_return result;
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/node/node.cpp
@@ -0,0 +1,241 @@
+#include <serving/node/node.hpp>
+#include <serving/telemetry/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+#include <exception>
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+} // namespace
+
+node::node(node_settings settings)
+    : settings_(std::move(settings)), signals_(control_), notice_(control_),
+      host_list_pause_(control_), fencing_source_(fencing_.as_source()),
+      sheet_source_(
+          control_.get_executor(),
+          sheet_source::options{.server = {.server = settings_.configuration_service},
+                                .delays = {}},
+          sheets_,
+          [this](std::shared_ptr<sheet const> taken) { take_sheet(std::move(taken)); },
+          &node::log_sheet_failure),
+      host_list_(control_.get_executor(),
+                 http_reader::options{.server = settings_.host_list}),
+      monitor_(control_,
+               endpoint_monitor_options{.region = settings_.region,
+                                        .interval = settings_.load_interval},
+               endpoint_monitor_events{
+                   .on_report =
+                       [this](endpoint_report const& report)
+                   {
+                       cell_.feed([&](auto& cell, time_point now, cell_actions& out)
+                                  { cell.on_endpoint(report, now, out); });
+                   },
+                   .on_gone =
+                       [this](endpoint_id endpoint)
+                   {
+                       cell_.feed([&](auto& cell, time_point now, cell_actions& out)
+                                  { cell.on_endpoint_gone(endpoint, now, out); });
+                   }}),
+      cell_(control_,
+            cell_orders{.load =
+                            [this](load_action const& action, order_callback done) {
+                                order(adapter_order::load, action.endpoint,
+                                      action.adapter, std::move(done));
+                            },
+                        .unload =
+                            [this](unload_action const& action, order_callback done) {
+                                order(adapter_order::unload, action.endpoint,
+                                      action.adapter, std::move(done));
+                            }},
+            settings_.policy),
+      grants_(cell_.as_service())
+{
+    make_workers();
+}
+
+node::~node() = default;
+
+void node::make_workers()
+{
+    auto const host = host_id::of(settings_.host);
+
+    // The start time makes request identifiers unique across restarts
+    auto const start = static_cast<std::uint64_t>(wall_now().count());
+    for (std::uint32_t index = 0; index < settings_.traffic_threads; ++index)
+    {
+        traffic_worker_options const options{
+            .host = host,
+            .limits = settings_.limits,
+            .connections = settings_.connections,
+            .request_seed = hash_combine(hash_combine(host.number(), start), index),
+        };
+        workers_.push_back(std::make_unique<traffic_worker>(options, control_, grants_));
+    }
+}
+
+boost::system::error_code node::listen()
+{
+    auto address = settings_.callers;
+    for (auto const& worker : workers_)
+    {
+        if (auto const error = worker->listen(address))
+            return error;
+
+        // A chosen port holds for all threads
+        address = worker->address();
+    }
+    return {};
+}
+
+asio::ip::tcp::endpoint node::callers() const
+{
+    return workers_.front()->address();
+}
+
+void node::run()
+{
+    watch_signals();
+    asio::co_spawn(control_, sheet_source_.run(), asio::detached);
+    asio::co_spawn(control_, read_host_list(), asio::detached);
+    for (auto const& worker : workers_)
+        worker->start();
+    control_.run();
+    for (auto const& worker : workers_)
+        worker->join();
+}
+
+void node::watch_signals()
+{
+    boost::system::error_code ignored;
+    signals_.add(SIGTERM, ignored);
+    signals_.add(SIGINT, ignored);
+    signals_.async_wait(
+        [this](boost::system::error_code error, int /*signal*/)
+        {
+            if (error)
+                return;
+            shut_down();
+            watch_signals();
+        });
+}
+
+asio::awaitable<void> node::read_host_list()
+{
+    boost::system::error_code ignored;
+    while (!stopping_)
+    {
+        auto read = co_await host_list_.read();
+        if (read.error && host_list_known_ && !stopping_)
+            log_event(event::host_list_unreachable, "error", read.error.message());
+        host_list_known_ = !read.error;
+        if (!read.error && read.hosts != hosts_)
+        {
+            hosts_ = std::move(read.hosts);
+            log_event(event::host_list_changed, "hosts", hosts_.size());
+            publish();
+        }
+        host_list_pause_.expires_after(settings_.host_list_interval);
+        co_await host_list_pause_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void node::take_sheet(std::shared_ptr<sheet const> taken)
+{
+    log_event(event::sheet_accepted, "number", taken->number(), "adapters",
+              taken->tables().adapters.size());
+    publish();
+}
+
+void node::log_sheet_failure(sheet_source::failure const& failure)
+{
+    if (failure.error)
+        log_event(event::sheet_fetch_failed, "error", failure.error.message());
+    for (auto const& problem : failure.problems)
+        log_event(event::sheet_rejected, "problem", problem.to_string());
+}
+
+void node::publish()
+{
+    if (sheets_.current())
+        monitor_.update(hosts_, *sheets_.current());
+    routing_view const view{.sheet_in_force = sheets_.current(),
+                            .endpoints = monitor_.endpoints(),
+                            .stopping = stopping_};
+    for (auto const& worker : workers_)
+        worker->set_view(view);
+}
+
+void node::order(adapter_order kind, endpoint_id endpoint, adapter_version_id adapter,
+                 order_callback done)
+{
+    auto const& endpoints = *monitor_.endpoints();
+    auto const found = endpoints.find(endpoint);
+    auto const* version =
+        sheets_.current() ? sheets_.current()->find_version(adapter) : nullptr;
+    if (found == endpoints.end() || !version)
+    {
+        asio::post(control_, [done] { done(error_kind::load_failed); });
+        return;
+    }
+    engine_order ordered{.endpoint = found->second,
+                         .kind = kind,
+                         .qualified_adapter = version->qualified_name()};
+    engine_order_options options{.adapter_path = settings_.adapter_path};
+    asio::co_spawn(
+        control_, give_order(std::move(ordered), std::move(options), fencing_source_),
+        [done = std::move(done)](std::exception_ptr const& failure, error_kind error)
+        { done(failure ? error_kind::internal : error); });
+}
+
+void node::shut_down()
+{
+    // A second signal does not shorten the first one's work
+    if (stopping_)
+        return;
+    stopping_ = true;
+    log_event(event::shutdown_started, "notice_ms", settings_.shutdown_notice.count());
+    publish();
+
+    // The balancer may send new callers for a while
+    notice_.expires_after(settings_.shutdown_notice);
+    notice_.async_wait([this](boost::system::error_code) { stop_callers(); });
+}
+
+void node::stop_callers()
+{
+    workers_busy_ = workers_.size();
+    for (auto const& worker : workers_)
+        worker->stop_callers([this] { on_worker_drained(); });
+}
+
+void node::on_worker_drained()
+{
+    if (--workers_busy_ == 0)
+        finish();
+}
+
+void node::finish()
+{
+    log_event(event::shutdown_finished, "cut", 0);
+    signals_.cancel();
+    sheet_source_.stop();
+    host_list_.close();
+    host_list_pause_.cancel();
+    monitor_.stop();
+    control_.stop();
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/node/traffic_worker.cpp
@@ -0,0 +1,64 @@
+#include <serving/node/traffic_worker.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+} // namespace
+
+traffic_worker::traffic_worker(traffic_worker_options options, asio::io_context& control,
+                               grant_service const& service)
+    : work_(loop_.get_executor()),
+      control_(&control), context_{.loop = loop_,
+                                   .host = options.host,
+                                   .limits = options.limits,
+                                   .grants = grant_client(loop_, control, service),
+                                   .connections = connection_pool(loop_.get_executor(),
+                                                                  options.connections),
+                                   .request_seed = options.request_seed,
+                                   .view = {}},
+      listener_(context_)
+{
+}
+
+traffic_worker::~traffic_worker()
+{
+    join();
+}
+
+void traffic_worker::start()
+{
+    listener_.start();
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+void traffic_worker::set_view(routing_view view)
+{
+    asio::post(loop_, [this, view = std::move(view)]() mutable
+               { context_.view = std::move(view); });
+}
+
+void traffic_worker::stop_callers(std::function<void()> drained)
+{
+    auto notify = [this, drained = std::move(drained)]
+    { asio::post(*control_, drained); };
+    asio::post(loop_, [this, notify = std::move(notify)] { listener_.stop(notify); });
+}
+
+void traffic_worker::join()
+{
+    work_.reset();
+    loop_.stop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+} // namespace marjorampath::serving
