--- a/marjorampath/key/key_begin_reply.hpp
+++ b/marjorampath/key/key_begin_reply.hpp
@@ -19,6 +19,8 @@
     key_id key;
     /// The attempt that asked.
     request_id request;
+    /// Number of the attempt, for `run`.
+    std::uint32_t attempt = 0;
     /// What to do.
     key_verdict verdict = key_verdict::unavailable;
     /// The remembered answer, for `replay`.
--- a/marjorampath/key/key_record.hpp
+++ b/marjorampath/key/key_record.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/key/key_state.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -19,6 +20,8 @@
     fingerprint_id fingerprint;
     /// The attempt that was allowed to run.
     request_id request;
+    /// Number of that attempt; rises where an earlier one certainly did not run.
+    std::uint32_t attempt = 0;
     /// Entry host of that attempt.
     host_id entry;
     /// State.
--- a/marjorampath/key/key_recovery_reply.hpp
+++ b/marjorampath/key/key_recovery_reply.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <marjorampath/core/identifier.hpp>
-#include <marjorampath/core/time.hpp>
+#include <marjorampath/key/key_gap.hpp>
 #include <marjorampath/key/key_record.hpp>
 
 #include <cstdint>
@@ -23,8 +23,13 @@
     std::uint64_t fencing_number = 0;
     /// Whether the host knows of a home with a higher fencing number and refuses.
     bool refused = false;
-    /// Time since the host began to remember: since its start.
-    duration memory{0};
+    /// Highest fencing number of a home of the shard that the host knew of before.
+    std::uint64_t known_number = 0;
+    /// Fencing number of the home whose records the host holds completely, as that home
+    /// or as its backup; zero for none.
+    std::uint64_t synced_number = 0;
+    /// What that home did not know.
+    key_gap gap;
     /// Records.
     std::vector<key_record> records;
 };
