--- a/programs/marjorampath-replay/main.cpp
+++ b/programs/marjorampath-replay/main.cpp
@@ -4,16 +4,14 @@
 #include <marjorampath/trace/trace_text.hpp>
 #include <programs/marjorampath-standin/generated_text.hpp>
 #include <programs/marjorampathctl/exit_code.hpp>
+#include <serving/replay/endpoint_list.hpp>
 #include <serving/replay/replay_report.hpp>
 #include <serving/replay/replay_runner.hpp>
 #include <serving/sheet_files/sheet_files.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
-#include <charconv>
 #include <fstream>
 #include <iterator>
 #include <optional>
@@ -24,8 +22,6 @@
 namespace
 {
 
-using tcp_endpoint = boost::asio::ip::tcp::endpoint;
-
 // The words of the command line
 struct arguments
 {
@@ -48,33 +44,6 @@
     return ctl::usage;
 }
 
-// Reads `IP:PORT[,IP:PORT…]`
-std::optional<std::vector<tcp_endpoint>> parse_endpoints(std::string_view text)
-{
-    std::vector<tcp_endpoint> endpoints;
-    while (!text.empty())
-    {
-        auto const end = std::min(text.find(','), text.size());
-        auto const each = text.substr(0, end);
-        text.remove_prefix(std::min(end + 1, text.size()));
-
-        auto const colon = each.rfind(':');
-        if (colon == std::string_view::npos)
-            return std::nullopt;
-        boost::system::error_code error;
-        auto const address =
-            boost::asio::ip::make_address(std::string(each.substr(0, colon)), error);
-        auto const port_text = each.substr(colon + 1);
-        std::uint16_t port = 0;
-        auto const [stop, port_error] =
-            std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
-        if (error || port_error != std::errc{})
-            return std::nullopt;
-        endpoints.emplace_back(address, port);
-    }
-    return endpoints;
-}
-
 std::optional<std::string> read_file(std::string const& path)
 {
     std::ifstream file(path, std::ios::binary);
@@ -128,8 +97,8 @@
 
 int replay(arguments const& words)
 {
-    auto const targets = parse_endpoints(words.targets);
-    auto const endpoints = parse_endpoints(words.records);
+    auto const targets = serving::parse_endpoint_list(words.targets);
+    auto const endpoints = serving::parse_endpoint_list(words.records);
     if (!targets || targets->empty() || !endpoints)
         return usage_error("--target and --records take IP:PORT[,IP:PORT…]");
     auto const in_force = open_sheet(words.sheet);
