--- a/marjorampath/cell/cell_loads.cpp
+++ b/marjorampath/cell/cell_loads.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <chrono>
+#include <cmath>
 
 namespace marjorampath
 {
@@ -24,6 +25,9 @@
 // Worth of an engine without room, in levels of demand
 constexpr double full_penalty = 3.0;
 
+// Time between two copies that are drained
+constexpr duration drain_interval = std::chrono::seconds(1);
+
 // Levels of demand by which a prefetched adapter must exceed the one it displaces
 constexpr double prefetch_margin = 1.0;
 
@@ -71,7 +75,10 @@
                 continue;
             auto const& kind = *adapter->kind;
             if (kind.free_slots.empty() && (kind.evictable.empty() || !eviction_allowed))
+            {
+                drain_surplus(*adapter->kind, now);
                 continue;
+            }
             auto const cost = wait_cost(*adapter, now);
             if (best == nullptr || cost > best_cost)
             {
@@ -84,6 +91,38 @@
     }
 }
 
+void cell_state::drain_surplus(kind_state& kind, time_point now)
+{
+    if (!eviction_allowed || now < kind.next_drain)
+        return;
+    kind.next_drain = now + drain_interval;
+
+    // The copy of an adapter with other copies that is asked for least
+    endpoint_state* place = nullptr;
+    adapter_copy* least = nullptr;
+    double least_level = 0;
+    for (auto& [id, endpoint] : placement.endpoints())
+    {
+        if (endpoint.kind != &kind || !endpoint.usable() || endpoint.stranded)
+            continue;
+        for (auto& copy : endpoint.copies)
+        {
+            if (copy.state != copy_state::resident || copy.adapter->resident < 2)
+                continue;
+            auto const level =
+                copy.adapter->demand.level() - std::log2(copy.adapter->resident);
+            auto const ties = least != nullptr && level == least_level;
+            if (least != nullptr && (level > least_level || (ties && id > place->id)))
+                continue;
+            place = &endpoint;
+            least = &copy;
+            least_level = level;
+        }
+    }
+    if (least != nullptr)
+        placement.set_state(*place, *least, copy_state::draining, now);
+}
+
 bool cell_state::start_load(adapter_state& adapter, time_point now, cell_actions& out)
 {
     auto& kind = *adapter.kind;
--- a/marjorampath/placement/kind_state.hpp
+++ b/marjorampath/placement/kind_state.hpp
@@ -68,6 +68,8 @@
     std::size_t ejected = 0;
     /// Sum of the concurrency of usable endpoints.
     std::uint64_t concurrency = 0;
+    /// Earliest time at which another copy may be drained so that it can be evicted.
+    time_point next_drain{};
     /// What requests without adapter wait for.
     adapter_state* plain = nullptr;
     /// Sum of the weights of teams that have requests queued.
--- a/programs/marjorampath-bench/policy_clairvoyant.cpp
+++ b/programs/marjorampath-bench/policy_clairvoyant.cpp
@@ -95,6 +95,9 @@
 
     bool start_load(duration now)
     {
+        drop_late(now);
+        if (waiting_.empty())
+            return true;
         auto const full = resident_.size() + loading_.size() >=
                           std::size_t{chosen_.engines} * chosen_.slots;
         if (full && by_next_use_.empty())
@@ -120,12 +123,29 @@
         return true;
     }
 
+    // Gives up the requests whose time is over
+    void drop_late(duration now)
+    {
+        for (auto& [adapter, waiting] : waiting_)
+            std::erase_if(waiting,
+                          [&](std::size_t index)
+                          {
+                              auto const& request = made_.requests[index];
+                              auto const late = request.at + request.time_limit < now;
+                              if (late)
+                                  result_.stalls[index] = request.time_limit;
+                              return late;
+                          });
+        std::erase_if(waiting_, [](auto const& entry) { return entry.second.empty(); });
+    }
+
     void finish_load()
     {
         auto const [at, adapter] = *loading_.begin();
         loading_.erase(loading_.begin());
         for (auto const index : joining_[adapter])
-            result_.stalls[index] = at - made_.requests[index].at;
+            result_.stalls[index] =
+                std::min(at - made_.requests[index].at, made_.requests[index].time_limit);
         joining_.erase(adapter);
         insert(adapter);
     }
--- a/programs/marjorampath-bench/policy_experiment.hpp
+++ b/programs/marjorampath-bench/policy_experiment.hpp
@@ -87,6 +87,7 @@
         {
             auto const request = static_cast<std::uint32_t>(run);
             world_.records[request].state = request_state::finished;
+            world_.records[request].finished_at = world_.now;
             policy_.on_end(world_, request, happened.engine, true);
         }
     }
--- a/programs/marjorampath-bench/policy_world.hpp
+++ b/programs/marjorampath-bench/policy_world.hpp
@@ -37,6 +37,8 @@
     request_state state = request_state::waiting;
     /// Time spent waiting for its adapter to arrive.
     duration stall{0};
+    /// Time at which it finished.
+    time_point finished_at;
     /// Engine that it runs or ran at.
     std::uint32_t engine = 0;
     /// Number of the present attempt.
