--- a/marjorampath/cell/cell_grants.cpp
+++ b/marjorampath/cell/cell_grants.cpp
@@ -104,6 +104,8 @@
         if (copy.state != copy_state::resident || copy.adapter->queue.empty())
             continue;
         auto* const candidate = copy.adapter->queue.first();
+        if (copy.vacating)
+            return candidate;
         if (best == nullptr || goes_before(*candidate, *best))
             best = candidate;
     }
--- a/marjorampath/cell/cell_loads.cpp
+++ b/marjorampath/cell/cell_loads.cpp
@@ -41,7 +41,8 @@
         double room = 0;
         for (auto const* const endpoint : adapter.places)
             room += endpoint->concurrency;
-        wants = adapter.queue.seconds() > copy_wait_seconds * room;
+        wants = adapter.queue.seconds() > copy_wait_seconds * room &&
+                adapter.places.size() < adapter.kind->usable;
     }
     if (wants == adapter.wanted)
         return;
@@ -65,18 +66,19 @@
 
 void cell_state::plan_loads(time_point now, cell_actions& out)
 {
+    auto const round = ++planning_round;
     while (orders_allowed && permits.available(now) && !wanted.empty())
     {
         adapter_state* best = nullptr;
         double best_cost = 0;
         for (auto* const adapter : wanted)
         {
-            if (adapter->backoff.not_before() > now)
+            if (adapter->backoff.not_before() > now || adapter->passed_over == round)
                 continue;
             auto const& kind = *adapter->kind;
             if (kind.free_slots.empty() && (kind.evictable.empty() || !eviction_allowed))
             {
-                drain_surplus(*adapter->kind, now);
+                vacate_slot(*adapter->kind, now);
                 continue;
             }
             auto const cost = wait_cost(*adapter, now);
@@ -86,18 +88,22 @@
                 best_cost = cost;
             }
         }
-        if (best == nullptr || !start_load(*best, now, out))
+        if (best == nullptr)
             return;
+
+        // One that fits nowhere must not hold the others up
+        if (!start_load(*best, now, out))
+            best->passed_over = round;
     }
 }
 
-void cell_state::drain_surplus(kind_state& kind, time_point now)
+void cell_state::vacate_slot(kind_state& kind, time_point now)
 {
     if (!eviction_allowed || now < kind.next_drain)
         return;
     kind.next_drain = now + drain_interval;
 
-    // The copy of an adapter with other copies that is asked for least
+    // The copy that is asked for least
     endpoint_state* place = nullptr;
     adapter_copy* least = nullptr;
     double least_level = 0;
@@ -107,7 +113,7 @@
             continue;
         for (auto& copy : endpoint.copies)
         {
-            if (copy.state != copy_state::resident || copy.adapter->resident < 2)
+            if (copy.state != copy_state::resident || copy.vacating)
                 continue;
             auto const level =
                 copy.adapter->demand.level() - std::log2(copy.adapter->resident);
@@ -119,8 +125,14 @@
             least_level = level;
         }
     }
-    if (least != nullptr)
+    if (least == nullptr)
+        return;
+
+    // The last copy serves all that wait for it first
+    if (least->adapter->resident > 1)
         placement.set_state(*place, *least, copy_state::draining, now);
+    else
+        least->vacating = true;
 }
 
 bool cell_state::start_load(adapter_state& adapter, time_point now, cell_actions& out)
@@ -130,6 +142,8 @@
     adapter_state* victim = nullptr;
     double best_score = 0;
 
+    std::size_t compared = 0;
+
     // An empty slot costs nothing but for the load of its engine
     auto const direction = 1.0 - 2.0 * options.stall_weight;
     auto const consider =
@@ -137,6 +151,7 @@
     {
         if (endpoint->find(&adapter) != nullptr)
             return;
+        ++compared;
         score += direction * endpoint->fill();
         if (!endpoint->has_room(now))
             score -= full_penalty;
@@ -146,11 +161,10 @@
         victim = evicted;
         best_score = score;
     };
-    std::size_t compared = 0;
     for (auto const& [taken, endpoint] : kind.free_slots)
     {
         consider(endpoint, nullptr, -taken);
-        if (++compared == compared_slots)
+        if (compared == compared_slots)
             break;
     }
     if (best == nullptr && eviction_allowed)
@@ -160,7 +174,7 @@
         {
             consider(copy.endpoint, copy.adapter,
                      std::max(-1e9, kind.evictable.begin()->score - copy.score));
-            if (++compared == compared_victims)
+            if (compared == compared_victims)
                 break;
         }
     }
--- a/marjorampath/cell/cell_requests.cpp
+++ b/marjorampath/cell/cell_requests.cpp
@@ -61,7 +61,7 @@
         return;
     if (next_sequence % adapter_sweep == 0 &&
         placement.adapter_count() > options.adapter_bound)
-        placement.forget_idle_adapters(now, options.demand_half_life);
+        placement.forget_idle_adapters();
     auto& kind = placement.kind(asked.endpoints);
     auto& request = found->second;
     request.request = asked;
@@ -77,7 +77,9 @@
     request.seconds = seconds_double(service).count();
 
     // Demand counts also where the request is refused
-    request.adapter->demand.add(now, options.demand_half_life);
+    kind.clock.tick(request.adapter->needs_load() && request.adapter->resident == 0,
+                    options.demand_half_life * static_cast<double>(kind.slots));
+    request.adapter->demand.add(kind.clock.age());
     placement.reindex(*request.adapter);
 
     // A team may repeat only a part of what it asks
--- a/marjorampath/cell/cell_state.hpp
+++ b/marjorampath/cell/cell_state.hpp
@@ -123,8 +123,9 @@
                     adapter_state* victim, time_point now, cell_actions& out);
     /// Loads what is asked for more often than what would be evicted for it.
     void prefetch(time_point now, cell_actions& out);
-    /// Stops granting at a surplus copy, where no copy can be evicted otherwise.
-    void drain_surplus(kind_state& kind, time_point now);
+    /// Prepares the copy that is asked for least for its eviction, where none can be
+    /// evicted otherwise.
+    void vacate_slot(kind_state& kind, time_point now);
     /// Notes that a load ended.
     void load_finished(endpoint_state& endpoint, adapter_state& adapter, error_kind error,
                        time_point now, cell_actions& out);
@@ -178,6 +179,8 @@
     std::multiset<time_point> pauses;
     // Time of the next load permit, where one is waited for
     std::optional<time_point> next_permit;
+    // Number of the latest planning round
+    std::uint64_t planning_round = 0;
     // Number of the next request
     std::uint64_t next_sequence = 1;
     // Whether orders may be given
--- a/marjorampath/placement/adapter_copy.hpp
+++ b/marjorampath/placement/adapter_copy.hpp
@@ -35,6 +35,8 @@
     time_point changed;
     /// The adapter whose load follows the unload of this one, or null.
     adapter_state* successor = nullptr;
+    /// Whether its requests go first, so that it can be evicted when none is left.
+    bool vacating = false;
     /// Whether it is in the index of evictable copies.
     bool indexed = false;
     /// Its place in the index of evictable copies.
--- a/marjorampath/placement/adapter_state.hpp
+++ b/marjorampath/placement/adapter_state.hpp
@@ -31,6 +31,8 @@
     std::uint32_t loading = 0;
     /// Whether it is in the list of adapters that want a load.
     bool wanted = false;
+    /// Planning round in which no place was found for it.
+    std::uint64_t passed_over = 0;
     /// Known requests that name it, waiting or granted.
     std::size_t references = 0;
     /// How often it is asked for.
--- a/marjorampath/placement/endpoint_state.hpp
+++ b/marjorampath/placement/endpoint_state.hpp
@@ -62,6 +62,8 @@
     bool counted = false;
     /// Its part of the sum of concurrency of its kind.
     std::uint32_t counted_concurrency = 0;
+    /// Its part of the sum of slots of its kind.
+    std::uint32_t counted_slots = 0;
     /// Whether its copies get no requests since it was ejected or did not answer.
     bool stranded = false;
     /// Whether the sums of its kind count it as ejected.
--- a/marjorampath/placement/kind_state.hpp
+++ b/marjorampath/placement/kind_state.hpp
@@ -2,6 +2,7 @@
 
 #include <marjorampath/core/identifier.hpp>
 #include <marjorampath/limits/service_estimate.hpp>
+#include <marjorampath/placement/demand_clock.hpp>
 #include <marjorampath/placement/endpoint_state.hpp>
 
 #include <cstddef>
@@ -76,6 +77,10 @@
     double backlogged_weight = 0;
     /// Virtual time of the team served last.
     double virtual_time = 0;
+    /// Clock by which the demand for its adapters ages.
+    demand_clock clock;
+    /// Sum of the adapter slots of usable endpoints.
+    std::uint64_t slots = 0;
     /// How long runs take.
     service_estimate service;
     /// Requests that must run alone and have no endpoint yet.
--- a/marjorampath/placement/residency.cpp
+++ b/marjorampath/placement/residency.cpp
@@ -123,6 +123,9 @@
     kind.ejected += ejected ? 1 : 0;
     kind.concurrency -= endpoint.counted_concurrency;
     kind.concurrency += concurrency;
+    kind.slots -= endpoint.counted_slots;
+    endpoint.counted_slots = counted ? endpoint.slots : 0;
+    kind.slots += endpoint.counted_slots;
 
     endpoint.counted = counted;
     endpoint.counted_ejected = ejected;
@@ -202,9 +205,10 @@
     return copy.adapter->demand.level() - std::log2(std::max(1U, copy.adapter->resident));
 }
 
-void residency::forget_idle_adapters(time_point now, duration half_life)
+void residency::forget_idle_adapters()
 {
-    constexpr double negligible = 1e-3;
+    // Half-lives after which a single request counts for nothing
+    constexpr double negligible = 10;
     std::erase_if(adapters_,
                   [&](auto const& entry)
                   {
@@ -212,7 +216,8 @@
                       return adapter.needs_load() && adapter.places.empty() &&
                              adapter.queue.empty() && adapter.loading == 0 &&
                              !adapter.wanted && adapter.references == 0 &&
-                             adapter.demand.recent(now, half_life) < negligible;
+                             adapter.kind->clock.age() - adapter.demand.level() >
+                                 negligible;
                   });
 }
 
--- a/marjorampath/placement/residency.hpp
+++ b/marjorampath/placement/residency.hpp
@@ -77,7 +77,7 @@
     }
 
     /// Forgets the adapters without copies, queue or recent demand.
-    void forget_idle_adapters(time_point now, duration half_life);
+    void forget_idle_adapters();
 
 private:
     // Whether a copy may be evicted now
--- a/programs/marjorampath-bench/policy.cpp
+++ b/programs/marjorampath-bench/policy.cpp
@@ -33,13 +33,13 @@
 }
 
 policy_result run_cell(scenario const& chosen, trace const& made, std::uint64_t seed,
-                       double stall_weight, std::int64_t half_life)
+                       double stall_weight, double half_life)
 {
     world where(chosen, made, seed);
     auto options = *find_profile(chosen.profile);
     options.loads_per_second = chosen.loads_per_second;
     if (half_life > 0)
-        options.demand_half_life = std::chrono::seconds(half_life);
+        options.demand_half_life = half_life;
     if (stall_weight >= 0)
         options.stall_weight = stall_weight;
     options.loads_in_transit = std::max(8U, chosen.engines * 8 / 9);
@@ -49,7 +49,7 @@
 }
 
 void run_scenario(scenario const& chosen, std::uint64_t seed, double stall_weight,
-                  std::int64_t half_life, std::vector<policy_result>& rows)
+                  double half_life, std::vector<policy_result>& rows)
 {
     auto const made = make_trace(chosen, seed);
     for (auto const& [name, routing] : baselines)
@@ -77,8 +77,8 @@
                                       false, "", "TEXT", line);
     TCLAP::ValueArg<double> weight("", "stall-weight", "in place of the profile's", false,
                                    -1, "0..1", line);
-    TCLAP::ValueArg<std::int64_t> half_life("", "half-life", "of the demand estimate",
-                                            false, 0, "SECONDS", line);
+    TCLAP::ValueArg<double> half_life("", "half-life", "of the demand estimate", false, 0,
+                                      "REQUESTS", line);
     TCLAP::SwitchArg scale("", "scale", "decision cost by number of engines", line);
     line.parse(arguments);
 
--- a/tests/unit/cell/cell_test.cpp
+++ b/tests/unit/cell/cell_test.cpp
@@ -55,6 +55,25 @@
     BOOST_TEST(static_cast<bool>(harness.granted_at(waiting)));
 }
 
+BOOST_AUTO_TEST_CASE(an_adapter_that_fits_nowhere_does_not_hold_others_up)
+{
+    // The hot adapter is on both engines, and its queue still wants more copies
+    auto options = ennstal_profile();
+    options.token_time = 1s;
+    cell_harness harness(options, 2, 3, 1);
+    for (int index = 0; index < 6; ++index)
+        harness.ask("hot", "team", 1h);
+    for (int round = 0; round < 4; ++round)
+    {
+        harness.finish_orders();
+        harness.advance(1s);
+    }
+    BOOST_TEST(harness.load_orders("hot") == 2);
+    harness.ask("cold", "team", 1h);
+    harness.advance(1s);
+    BOOST_TEST(harness.load_orders("cold") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_suspect_runs_alone)
 {
     cell_harness harness(ennstal_profile(), 1, 2, 8);
