Order loads by waiting time, and forget a hot set sooner after a shift

Cause: after a shift the demand of old adapters stayed for hundreds of requests, and the order of loads let single requests wait behind short queues. Change: half-life of 40 requests a slot, with a clock 64 times as fast while misses are 1.4 times as frequent as usual; the cost of waiting is requests x (0.2 s + age of the oldest).

--- a/marjorampath/cell/cell_loads.cpp
+++ b/marjorampath/cell/cell_loads.cpp
@@ -59,9 +59,11 @@
     auto const& oldest = *adapter.queue.oldest();
     auto const age = seconds_double(now - oldest.arrived).count();
 
+    constexpr double first_second = 0.2;
+
     // Another copy saves less than the first one
     auto const gain = adapter.resident > 0 ? 0.5 : 1.0;
-    return gain * waiting * (1.0 + age);
+    return gain * waiting * (first_second + age);
 }
 
 void cell_state::plan_loads(time_point now, cell_actions& out)
--- a/marjorampath/cell/cell_options.hpp
+++ b/marjorampath/cell/cell_options.hpp
@@ -29,7 +29,7 @@
     /// Number of adapters above which idle ones are forgotten.
     std::size_t adapter_bound = 32'768;
     /// Half-life of the demand estimate of an adapter, in requests by adapter slot.
-    double demand_half_life = 20;
+    double demand_half_life = 40;
     /// Time for which an endpoint's report may lag behind the orders that it was given.
     duration report_lag = std::chrono::seconds(3);
     /// First pause after a failed load; doubles with each further failure.
--- a/marjorampath/placement/demand_clock.hpp
+++ b/marjorampath/placement/demand_clock.hpp
@@ -37,8 +37,8 @@
     static constexpr double least_usual = 0.05;
     // Excess of recent misses over the usual that tells of a shift, and the clock's speed
     // while it lasts
-    static constexpr double shift_excess = 1.6;
-    static constexpr double shift_speed = 16.0;
+    static constexpr double shift_excess = 1.4;
+    static constexpr double shift_speed = 64.0;
 
     // Age in half-lives
     double age_ = 0;
