--- a/marjorampath/cell/cell_alone.cpp
+++ b/marjorampath/cell/cell_alone.cpp
@@ -62,7 +62,8 @@
     for (auto& victim : endpoint.copies)
     {
         if (victim.state == copy_state::resident && victim.running == 0 &&
-            (victim.adapter->queue.empty() || victim.adapter->resident > 1))
+            victim.adapter->waiting_alone == 0 &&
+            (!victim.adapter->awaited() || victim.adapter->resident > 1))
             return order_load(adapter, endpoint, victim.adapter, now, out);
     }
 }
--- a/marjorampath/cell/cell_grants.cpp
+++ b/marjorampath/cell/cell_grants.cpp
@@ -148,9 +148,16 @@
         if (copy->running == 0)
             drop_copy(endpoint, adapter, now);
         else
+        {
+            copy->missing = true;
             placement.set_state(endpoint, *copy, copy_state::draining, now);
+        }
         update_wanted(adapter);
     }
+    else if (copy != nullptr && copy->missing && copy->running == 0)
+    {
+        drop_copy(endpoint, adapter, now);
+    }
     start_alone(endpoint, now, out);
     fill(endpoint, now, out);
     sweep(endpoint);
@@ -235,7 +242,7 @@
     auto const to = stranded ? copy_state::draining : copy_state::resident;
     for (auto& copy : endpoint.copies)
     {
-        if (copy.state != from)
+        if (copy.state != from || copy.missing)
             continue;
         placement.set_state(endpoint, copy, to, now);
         update_wanted(*copy.adapter);
--- a/marjorampath/cell/cell_loads.cpp
+++ b/marjorampath/cell/cell_loads.cpp
@@ -137,8 +137,27 @@
         least->vacating = true;
 }
 
+bool cell_state::revive(adapter_state& adapter, time_point now, cell_actions& out)
+{
+    for (auto* const endpoint : adapter.places)
+    {
+        auto* const copy = endpoint->find(&adapter);
+        if (copy->state != copy_state::draining || copy->missing || !endpoint->usable() ||
+            endpoint->stranded)
+            continue;
+        placement.set_state(*endpoint, *copy, copy_state::resident, now);
+        update_wanted(adapter);
+        fill(*endpoint, now, out);
+        return true;
+    }
+    return false;
+}
+
 bool cell_state::start_load(adapter_state& adapter, time_point now, cell_actions& out)
 {
+    // A copy that was to be evicted is there already
+    if (adapter.resident == 0 && revive(adapter, now, out))
+        return true;
     auto& kind = *adapter.kind;
     endpoint_state* best = nullptr;
     adapter_state* victim = nullptr;
@@ -202,8 +221,8 @@
     // The load follows once the slot is free
     auto* const evicted = endpoint.find(victim);
     assert(evicted != nullptr && evicted->running == 0);
-    assert(victim->queue.empty() || victim->resident > 1 ||
-           evicted->state == copy_state::draining);
+    assert(!victim->awaited() || victim->resident > 1 ||
+           (evicted->state == copy_state::draining && victim->resident > 0));
     assert(eviction_allowed);
     evicted->successor = &adapter;
     ++adapter.loading;
--- a/marjorampath/cell/cell_requests.cpp
+++ b/marjorampath/cell/cell_requests.cpp
@@ -191,6 +191,8 @@
         if (kind.alone_waiting.empty())
             kinds_alone.push_back(&kind);
         kind.alone_waiting.push_back(&request);
+        ++adapter.waiting_alone;
+        placement.reindex(adapter);
         return;
     }
     adapter.queue.add(&request);
@@ -221,6 +223,8 @@
     if (request.request.isolated)
     {
         std::erase(kind.alone_waiting, &request);
+        --adapter.waiting_alone;
+        placement.reindex(adapter);
         if (kind.alone_waiting.empty())
             std::erase(kinds_alone, &kind);
         return;
--- a/marjorampath/cell/cell_state.hpp
+++ b/marjorampath/cell/cell_state.hpp
@@ -116,6 +116,8 @@
     void plan_loads(time_point now, cell_actions& out);
     /// How much it costs to let an adapter wait.
     double wait_cost(adapter_state const& adapter, time_point now) const;
+    /// Grants again at a copy that was to be evicted; returns whether there was one.
+    bool revive(adapter_state& adapter, time_point now, cell_actions& out);
     /// Starts a load of an adapter where it costs least; returns whether it could.
     bool start_load(adapter_state& adapter, time_point now, cell_actions& out);
     /// Starts a load at an endpoint, in a free slot or in that of `victim`.
--- a/marjorampath/placement/adapter_copy.hpp
+++ b/marjorampath/placement/adapter_copy.hpp
@@ -37,6 +37,8 @@
     adapter_state* successor = nullptr;
     /// Whether its requests go first, so that it can be evicted when none is left.
     bool vacating = false;
+    /// Whether the engine said that it does not have it, while others still ran with it.
+    bool missing = false;
     /// Whether it is in the index of evictable copies.
     bool indexed = false;
     /// Its place in the index of evictable copies.
--- a/marjorampath/placement/adapter_state.hpp
+++ b/marjorampath/placement/adapter_state.hpp
@@ -23,6 +23,8 @@
     kind_state* kind = nullptr;
     /// Requests that wait for it.
     request_queue queue;
+    /// Requests that wait for it and must run alone; these are not in the queue.
+    std::size_t waiting_alone = 0;
     /// Endpoints that hold it, load it or unload it.
     std::vector<endpoint_state*> places;
     /// Number of places that hold it.
@@ -40,6 +42,12 @@
     /// Pauses after failed loads.
     load_backoff backoff;
 
+    /// Whether requests wait for it.
+    [[nodiscard]] bool awaited() const noexcept
+    {
+        return !queue.empty() || waiting_alone > 0;
+    }
+
     /// Whether requests need a place that holds it.
     [[nodiscard]] bool needs_load() const noexcept
     {
--- a/marjorampath/placement/residency.cpp
+++ b/marjorampath/placement/residency.cpp
@@ -188,12 +188,15 @@
 {
     if (copy.running > 0 || !endpoint.usable() || endpoint.stranded)
         return false;
-    if (copy.state == copy_state::draining)
-        return true;
+    if (copy.missing || copy.adapter->waiting_alone > 0)
+        return false;
 
     // The last copy stays while requests wait for it
+    auto const& adapter = *copy.adapter;
+    if (copy.state == copy_state::draining)
+        return !adapter.awaited() || adapter.resident > 0;
     return copy.state == copy_state::resident &&
-           (copy.adapter->queue.empty() || copy.adapter->resident > 1);
+           (!adapter.awaited() || adapter.resident > 1);
 }
 
 double residency::eviction_score(adapter_copy const& copy)
