Cut the sheet where its rows say, and measure the slopes of capacity

Change: a part ends after a row whose hash is a multiple of 128 (content-defined chunking), so that one changed row changes one part and the others keep their digests; the subcommand slopes measures what one adapter, engine, host, key and message cost.

A test adds a row and finds one or two new parts.

--- a/marjorampath/sheet/sheet_packer.cpp
+++ b/marjorampath/sheet/sheet_packer.cpp
@@ -1,3 +1,4 @@
+#include <marjorampath/core/hash.hpp>
 #include <marjorampath/sheet/sheet_packer.hpp>
 
 #include <fmt/format.h>
@@ -43,6 +44,8 @@
         if (text.size() > header.size() && text.size() + row.size() > limit)
             finish_part();
         text += row;
+        if (hash_bytes(row) % mean_sheet_part_rows == 0)
+            finish_part();
     }
 
     // A table without rows is still published
--- a/marjorampath/sheet/sheet_packer.hpp
+++ b/marjorampath/sheet/sheet_packer.hpp
@@ -11,6 +11,11 @@
 namespace marjorampath
 {
 
+/// Mean number of rows in one part. A part ends after a row whose hash is a multiple of
+/// this, so that a row that is added or changed changes one part only and the others keep
+/// their digests.
+inline constexpr std::uint64_t mean_sheet_part_rows = 128;
+
 /// A sheet in the form in which it is published.
 struct packed_sheet
 {
@@ -21,6 +26,8 @@
 };
 
 /// Splits exported tables into parts of at most `limit` bytes and makes their manifest.
+/// The places of the cuts depend on the rows beside them only (content-defined chunking,
+/// Muthitacharoen, Chen and Mazières 2001).
 ///
 /// Each table is the text of one CSV file and is named as in `sheet_part`. The header row
 /// is repeated in every part. Rows are not changed; a row that is larger than the limit
--- a/programs/marjorampath-bench/main.cpp
+++ b/programs/marjorampath-bench/main.cpp
@@ -14,6 +14,8 @@
 constexpr std::array subcommands{
     subcommand{"policy", "the placement and load policy in virtual time",
                marjorampath::bench::run_policy},
+    subcommand{"slopes", "what one unit of each thing costs, for docs/slopes.yaml",
+               marjorampath::bench::run_slopes},
 };
 
 int print_usage()
--- /dev/null
+++ b/programs/marjorampath-bench/slopes.cpp
@@ -0,0 +1,253 @@
+#include <marjorampath/cell/cell.hpp>
+#include <marjorampath/core/hash.hpp>
+#include <marjorampath/gossip/message_size.hpp>
+#include <marjorampath/key/key_memory.hpp>
+#include <marjorampath/membership/host_table.hpp>
+#include <marjorampath/sheet/sheet_packer.hpp>
+#include <marjorampath/sheet/sheet_reader.hpp>
+#include <programs/marjorampath-bench/subcommand.hpp>
+
+#include <fmt/format.h>
+
+#include <ctime>
+#include <malloc.h>
+#include <memory>
+
+namespace marjorampath::bench
+{
+
+namespace
+{
+
+constexpr std::size_t adapter_count = 10'000;
+constexpr std::size_t engine_count = 16;
+constexpr std::size_t host_count = 68;
+constexpr std::size_t key_count = 50'000;
+
+// Heap that is in use, large blocks included, in bytes
+double used_memory()
+{
+    auto const heap = ::mallinfo2();
+    return static_cast<double>(heap.uordblks + heap.hblkhd);
+}
+
+// Processor time of this process, in microseconds
+double processor_us()
+{
+    constexpr double us_per_second = 1e6;
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC * us_per_second;
+}
+
+// Prints a slope as a line of docs/slopes.yaml
+void print(char const* name, double value, char const* unit)
+{
+    fmt::print("{}: {{value: {:.2f}, unit: {}, command: marjorampath-bench slopes}}\n",
+               name, value, unit);
+}
+
+packed_sheet make_sheet(std::size_t changed_row)
+{
+    std::string adapters = "service,adapter,version\n";
+    for (std::size_t index = 0; index < adapter_count; ++index)
+        adapters += fmt::format("dossier,mill-{},{}\n", index,
+                                index == changed_row ? 99 : index % 7 + 1);
+    std::vector<sheet_part> const tables{
+        {"endpoint_kinds", "endpoint_kind,base_model,adapter_slots,concurrency,"
+                           "checks_fence\nengine,base-7b,4,8,yes\n"},
+        {"services", "service,kind,endpoint_kind,team,weight,deadline_ms\n"
+                     "dossier,model,engine,drafting,3,20000\n"},
+        {"adapters", adapters},
+        {"non_idempotent", "service,method,path\n"}};
+    return pack_sheet(1, tables);
+}
+
+void measure_sheet()
+{
+    auto const packed = make_sheet(adapter_count);
+    auto const memory = used_memory();
+    auto const start = processor_us();
+    auto const read = read_sheet(packed.manifest, packed.parts);
+    print("sheet_adapter_us", (processor_us() - start) / adapter_count, "us");
+    print("sheet_adapter_memory", (used_memory() - memory) / adapter_count, "bytes");
+
+    // A change of one adapter costs the manifest and the parts that it changed
+    auto const changed = make_sheet(adapter_count / 2);
+    auto bytes = changed.manifest.to_csv().size() + 2 * message_overhead;
+    for (std::size_t index = 0; index < changed.parts.size(); ++index)
+        if (index >= packed.parts.size() ||
+            changed.manifest.parts[index].digest != packed.manifest.parts[index].digest)
+            bytes += changed.parts[index].text.size();
+    print("sheet_change_bytes", static_cast<double>(bytes), "bytes");
+}
+
+endpoint_report make_engine(std::size_t index)
+{
+    return {.endpoint = endpoint_id::of(fmt::format("engine-{}", index)),
+            .kind = endpoint_kind_id::of("engine"),
+            .zone = zone_id::of("zone"),
+            .boot_number = 1,
+            .adapter_slots = 4,
+            .concurrency = 8};
+}
+
+grant_request make_question(std::size_t index, std::size_t adapter, time_point now)
+{
+    return {.request = request_id(hash_combine(index, 1)),
+            .entry = host_id::of("host"),
+            .service = service_id::of("dossier"),
+            .team = team_id::of("drafting"),
+            .endpoints = endpoint_kind_id::of("engine"),
+            .adapter = adapter_version_id::of(fmt::format("mill-{}@1", adapter)),
+            .deadline = now + std::chrono::seconds(20),
+            .max_tokens = 64};
+}
+
+// Carries the decisions of a cell out at once
+void carry_out(cell& decisions, cell_actions& actions, time_point now)
+{
+    while (!actions.empty())
+    {
+        cell_actions next;
+        for (auto const& action : actions)
+        {
+            if (auto const* load = std::get_if<load_action>(&action))
+                decisions.on_load_finished(load->endpoint, load->adapter,
+                                           error_kind::none, now, next);
+            else if (auto const* unload = std::get_if<unload_action>(&action))
+                decisions.on_unload_finished(unload->endpoint, unload->adapter,
+                                             error_kind::none, now, next);
+            else if (auto const* grant = std::get_if<grant_action>(&action))
+                decisions.on_release({.request = grant->request,
+                                      .endpoint = grant->endpoint,
+                                      .reason = release_reason::finished,
+                                      .tokens = 32},
+                                     now, next);
+        }
+        actions = std::move(next);
+    }
+}
+
+void measure_cell()
+{
+    constexpr std::size_t requests = 200'000;
+    constexpr std::size_t adapters = 1'000;
+    auto now = time_point(std::chrono::hours(1));
+    cell_actions actions;
+
+    auto memory = used_memory();
+    cell decisions({.loads_per_second = 1e6, .load_burst = 1e6});
+    for (std::size_t index = 0; index < engine_count; ++index)
+        decisions.on_endpoint(make_engine(index), now, actions);
+    print("engine_memory", (used_memory() - memory) / engine_count, "bytes");
+
+    // Each adapter is asked for once, so that the cell knows it
+    memory = used_memory();
+    for (std::size_t index = 0; index < adapters; ++index)
+    {
+        now += std::chrono::milliseconds(10);
+        decisions.on_request(make_question(index, index, now), now, actions);
+        carry_out(decisions, actions, now);
+    }
+    print("cell_adapter_memory", (used_memory() - memory) / adapters, "bytes");
+
+    // Question, grant and release, with nine of ten requests for ten adapters
+    auto const start = processor_us();
+    for (std::size_t index = 0; index < requests; ++index)
+    {
+        now += std::chrono::milliseconds(1);
+        auto const adapter = index % 10 == 0 ? index % adapters : index % 10;
+        decisions.on_request(make_question(adapters + index, adapter, now), now, actions);
+        carry_out(decisions, actions, now);
+    }
+    print("decision_us", (processor_us() - start) / requests, "us");
+
+    // A report of an engine that says what is known already
+    auto const report_start = processor_us();
+    for (std::size_t index = 0; index < requests; ++index)
+    {
+        now += std::chrono::microseconds(10);
+        auto const report = make_engine(index % engine_count);
+        decisions.on_endpoint(report, now, actions);
+        actions.clear();
+    }
+    print("report_decision_us", (processor_us() - report_start) / requests, "us");
+}
+
+void measure_hosts()
+{
+    auto const memory = used_memory();
+    host_record const self{.host = host_id::of("host-0"),
+                           .zone = zone_id::of("zone"),
+                           .region = region_id::of("region"),
+                           .incarnation = 1};
+    host_table table(self, {});
+    membership_actions actions;
+    auto const now = time_point(std::chrono::hours(1));
+    for (std::size_t index = 1; index < host_count; ++index)
+    {
+        auto record = self;
+        record.host = host_id::of(fmt::format("host-{}", index));
+        table.merge(now, record, std::chrono::seconds(2), actions);
+    }
+    print("host_memory", (used_memory() - memory) / host_count, "bytes");
+}
+
+void measure_keys()
+{
+    auto const now = time_point(std::chrono::hours(1));
+    auto const memory = used_memory();
+    key_memory keys({});
+    auto const shard = resource_id::of("shard");
+    std::string const answer(200, 'x');
+    for (std::size_t index = 1; index <= key_count; ++index)
+        keys.merge(now, shard,
+                   {.key = key_id(hash_combine(index, 2)),
+                    .request = request_id(index),
+                    .state = key_state::answered,
+                    .answer = answer});
+    print("key_memory", (used_memory() - memory) / key_count, "bytes");
+}
+
+void measure_messages()
+{
+    constexpr double two_messages = 2.0 * message_overhead;
+    host_record const record;
+    probe question;
+    probe_reply reply;
+    auto const budget = membership_options{}.gossip_bytes / encoded_size(record);
+    question.news.hosts.assign(budget, record);
+    reply.news.hosts.assign(budget, record);
+    auto const probe_bytes =
+        static_cast<double>(encoded_size(question) + encoded_size(reply));
+    print("probe_bytes", probe_bytes + two_messages, "bytes");
+
+    lease_request want;
+    lease_reply verdict;
+    auto const empty = static_cast<double>(encoded_size(want) + encoded_size(verdict));
+    print("lease_bytes", empty + two_messages, "bytes");
+    want.wants.emplace_back();
+    verdict.verdicts.emplace_back();
+    auto const one = static_cast<double>(encoded_size(want) + encoded_size(verdict));
+    print("lease_resource_bytes", one - empty, "bytes");
+
+    key_copy copy;
+    copy.record.answer.assign(200, 'x');
+    auto const key_bytes =
+        static_cast<double>(encoded_size(key_begin{}) + encoded_size(key_begin_reply{}) +
+                            2 * encoded_size(copy));
+    print("key_bytes", key_bytes + 3 * two_messages, "bytes");
+}
+
+} // namespace
+
+int run_slopes(std::vector<std::string>& /*arguments*/)
+{
+    measure_sheet();
+    measure_cell();
+    measure_hosts();
+    measure_keys();
+    measure_messages();
+    return 0;
+}
+
+} // namespace marjorampath::bench
--- a/programs/marjorampath-bench/subcommand.hpp
+++ b/programs/marjorampath-bench/subcommand.hpp
@@ -22,4 +22,7 @@
 /// The placement and load policy in virtual time, beside baselines.
 int run_policy(std::vector<std::string>& arguments);
 
+/// What one adapter, engine, host, key and message cost, as lines of docs/slopes.yaml.
+int run_slopes(std::vector<std::string>& arguments);
+
 } // namespace marjorampath::bench
--- a/tests/unit/sheet/sheet_packer_test.cpp
+++ b/tests/unit/sheet/sheet_packer_test.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <ctime>
+#include <set>
 #include <string>
 
 using namespace marjorampath;
@@ -45,6 +47,27 @@
     BOOST_TEST(read_packed(packed)->tables().adapters.size() == 500);
 }
 
+BOOST_AUTO_TEST_CASE(one_added_row_changes_one_part)
+{
+    auto tables = make_tables(10'000);
+    auto const before = pack_sheet(1, tables).manifest.parts;
+    auto& rows = tables[2].text;
+    rows.insert(rows.find("dossier,mill-5000,"), "dossier,mill-added,1\n");
+    auto const after = pack_sheet(2, tables).manifest.parts;
+
+    std::set<std::string> known;
+    for (auto const& part : before)
+        known.insert(part.digest);
+    auto const fresh =
+        std::count_if(after.begin(), after.end(),
+                      [&](auto const& part) { return !known.contains(part.digest); });
+    BOOST_TEST(after.size() > 20);
+
+    // The added row may itself end a part, which makes two of one
+    BOOST_TEST(fresh >= 1);
+    BOOST_TEST(fresh <= 2);
+}
+
 BOOST_AUTO_TEST_CASE(ten_thousand_adapters_are_read_whole)
 {
     auto const packed = pack_sheet(3, make_tables(10'000));
