Remove what the load planner does not use

Cause: the linter found a constant that nothing uses; prefetching is not built yet. Change: its declaration, its constant and a query of the permits are gone.

--- a/marjorampath/cell/cell_loads.cpp
+++ b/marjorampath/cell/cell_loads.cpp
@@ -28,9 +28,6 @@
 // Time between two copies that are drained
 constexpr duration drain_interval = std::chrono::seconds(1);
 
-// Levels of demand by which a prefetched adapter must exceed the one it displaces
-constexpr double prefetch_margin = 1.0;
-
 } // namespace
 
 void cell_state::update_wanted(adapter_state& adapter)
--- a/marjorampath/cell/cell_state.hpp
+++ b/marjorampath/cell/cell_state.hpp
@@ -123,8 +123,6 @@
     /// Starts a load at an endpoint, in a free slot or in that of `victim`.
     void order_load(adapter_state& adapter, endpoint_state& endpoint,
                     adapter_state* victim, time_point now, cell_actions& out);
-    /// Loads what is asked for more often than what would be evicted for it.
-    void prefetch(time_point now, cell_actions& out);
     /// Prepares the copy that is asked for least for its eviction, where none can be
     /// evicted otherwise.
     void vacate_slot(kind_state& kind, time_point now);
--- a/marjorampath/limits/load_permits.hpp
+++ b/marjorampath/limits/load_permits.hpp
@@ -26,12 +26,6 @@
         return in_transit_ < bound_ && bucket_.available(now);
     }
 
-    /// Whether more loads may start than one, so that one would not be missed.
-    [[nodiscard]] bool plentiful(time_point now) const noexcept
-    {
-        return in_transit_ * 2 < bound_ && bucket_.level(now) >= 2.0 - 1e-6;
-    }
-
     /// Takes a permit; there must be one.
     void take(time_point now) noexcept
     {
