Add Cap'n Proto RPC between nodes on Asio

Nodes need versioned, authenticated calls to each other on the control thread, which runs an Asio loop and must never block.

kj_loop turns the RPC library's event loop from posted handlers; asio_stream is its byte stream over a TCP or TLS socket. peer_link keeps one connection to a host, opens it again with jittered delays, bounds and times calls, and tells a call that was never sent from one that may have arrived. node_listener serves the calls by the functions of a node_service; a grant request whose caller gives up is withdrawn. Messages are in schema/node.capnp with committed generated code.

--- /dev/null
+++ b/schema/node.capnp
@@ -0,0 +1,342 @@
+@0xd3a1f6c28e4b7095;
+# Messages between the nodes of a region.
+#
+# Compatibility: fields and methods are only ever added, at the end; none is renumbered or
+# given another meaning. A reader takes an absent field as zero or empty, and every new
+# field must be safe to read so by an older program. A method that the other side does not
+# know fails as unimplemented. `Hello` carries the protocol version for changes that this
+# cannot express: a node speaks with versions N and N - 1.
+#
+# Identifiers are 64-bit hashes of names; durations are nanoseconds; wall-clock times are
+# milliseconds since 1970.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("marjorampath::schema");
+
+interface Node {
+  hello @0 (request :Hello) -> (reply :Hello);
+  probe @1 (request :Probe) -> (reply :ProbeReply);
+  indirectProbe @2 (request :IndirectProbe) -> (reply :ProbeReply);
+  lease @3 (request :LeaseRequest) -> (reply :LeaseReply);
+  releaseLease @4 (request :LeaseRelease) -> (reply :Acknowledgement);
+  grant @5 (request :GrantRequest) -> (reply :GrantReply);
+  # Answers when the request is granted or refused; dropping the call withdraws it.
+  releaseGrant @6 (request :ReleaseReport) -> (reply :Acknowledgement);
+  recallGrants @7 (request :GrantRecall) -> (reply :GrantList);
+  keyBegin @8 (request :KeyBegin) -> (reply :KeyBeginReply);
+  keyComplete @9 (request :KeyComplete) -> (reply :KeyCompleteReply);
+  keyCopy @10 (request :KeyCopy) -> (reply :KeyCopyReply);
+  keyRecover @11 (request :KeyRecoveryRequest) -> (reply :KeyRecoveryReply);
+  fetchSheet @12 (request :SheetRequest) -> (reply :SheetReply);
+}
+
+struct Acknowledgement {
+  accepted @0 :Bool;
+}
+
+struct Hello {
+  version @0 :UInt32;
+  host @1 :UInt64;
+  incarnation @2 :UInt64;
+}
+
+# Membership and gossip
+
+enum HostState {
+  alive @0;
+  leaving @1;
+  suspect @2;
+  dead @3;
+}
+
+struct HostRecord {
+  host @0 :UInt64;
+  zone @1 :UInt64;
+  region @2 :UInt64;
+  incarnation @3 :UInt64;
+  counter @4 :UInt32;
+  state @5 :HostState;
+}
+
+struct LeaseHint {
+  resource @0 :UInt64;
+  holder @1 :UInt64;
+  fencingNumber @2 :UInt64;
+}
+
+struct Conviction {
+  fingerprint @0 :UInt64;
+  firstCrash @1 :UInt64;
+  secondCrash @2 :UInt64;
+  crashedAt @3 :Int64;
+  remaining @4 :Int64;
+}
+
+struct ConvictionRelease {
+  fingerprint @0 :UInt64;
+  releasedAt @1 :Int64;
+  remaining @2 :Int64;
+}
+
+struct Gossip {
+  hosts @0 :List(HostRecord);
+  sheetNumber @1 :UInt64;
+  sheetDigest @2 :UInt64;
+  leases @3 :List(LeaseHint);
+  convictions @4 :List(Conviction);
+  releases @5 :List(ConvictionRelease);
+}
+
+struct Probe {
+  sequence @0 :UInt64;
+  sender @1 :HostRecord;
+  target @2 :UInt64;
+  news @3 :Gossip;
+}
+
+struct IndirectProbe {
+  sequence @0 :UInt64;
+  sender @1 :HostRecord;
+  subject @2 :UInt64;
+  news @3 :Gossip;
+}
+
+struct ProbeReply {
+  sequence @0 :UInt64;
+  sender @1 :HostRecord;
+  subject @2 :UInt64;
+  news @3 :Gossip;
+}
+
+# Leases
+
+struct LeaseWant {
+  resource @0 :UInt64;
+  fencingNumber @1 :UInt64;
+}
+
+struct LeaseRequest {
+  holder @0 :UInt64;
+  holderIncarnation @1 :UInt64;
+  requestNumber @2 :UInt64;
+  wants @3 :List(LeaseWant);
+}
+
+struct LeaseVerdict {
+  resource @0 :UInt64;
+  granted @1 :Bool;
+  holder @2 :UInt64;
+  remaining @3 :Int64;
+  highestFencingNumber @4 :UInt64;
+}
+
+struct LeaseReply {
+  witness @0 :UInt64;
+  witnessIncarnation @1 :UInt64;
+  requestNumber @2 :UInt64;
+  active @3 :Bool;
+  activeIn @4 :Int64;
+  verdicts @5 :List(LeaseVerdict);
+}
+
+struct LeaseRelease {
+  holder @0 :UInt64;
+  holderIncarnation @1 :UInt64;
+  successor @2 :UInt64;
+  resources @3 :List(LeaseWant);
+}
+
+# Grants
+
+struct GrantRequest {
+  cell @0 :UInt64;
+  request @1 :UInt64;
+  entry @2 :UInt64;
+  service @3 :UInt64;
+  team @4 :UInt64;
+  teamWeight @5 :UInt32;
+  endpoints @6 :UInt64;
+  adapter @7 :UInt64;
+  fingerprint @8 :UInt64;
+  prefix @9 :UInt64;
+  priority @10 :Int32;
+  idempotent @11 :Bool;
+  remaining @12 :Int64;
+  promptTokens @13 :UInt32;
+  maxTokens @14 :UInt32;
+  sheetNumber @15 :UInt64;
+}
+
+struct GrantReply {
+  request @0 :UInt64;
+  fencingNumber @1 :UInt64;
+  union {
+    endpoint @2 :UInt64;
+    refusal :group {
+      reason @3 :Text;
+      # Name of an error kind, since numbers of kinds may differ between versions
+      retryAfter @4 :Int64;
+    }
+    notOwner @5 :UInt64;
+    # Owner as far as known
+  }
+}
+
+enum ReleaseReason {
+  finished @0;
+  cancelled @1;
+  refused @2;
+  adapterMissing @3;
+  endpointLost @4;
+}
+
+struct ReleaseReport {
+  cell @0 :UInt64;
+  request @1 :UInt64;
+  endpoint @2 :UInt64;
+  reason @3 :ReleaseReason;
+  tokens @4 :UInt32;
+}
+
+struct GrantRecall {
+  cell @0 :UInt64;
+  owner @1 :UInt64;
+  fencingNumber @2 :UInt64;
+}
+
+struct HeldGrant {
+  request @0 :UInt64;
+  endpoint @1 :UInt64;
+  adapter @2 :UInt64;
+  fingerprint @3 :UInt64;
+  remaining @4 :Int64;
+}
+
+struct GrantList {
+  entry @0 :UInt64;
+  entryIncarnation @1 :UInt64;
+  cell @2 :UInt64;
+  fencingNumber @3 :UInt64;
+  grants @4 :List(HeldGrant);
+}
+
+# Idempotency keys
+
+struct KeyTime {
+  present @0 :Bool;
+  wallMilliseconds @1 :Int64;
+}
+
+struct KeyBegin {
+  shard @0 :UInt64;
+  key @1 :UInt64;
+  fingerprint @2 :UInt64;
+  request @3 :UInt64;
+  entry @4 :UInt64;
+  keyTime @5 :KeyTime;
+}
+
+enum KeyVerdict {
+  run @0;
+  replay @1;
+  inProgress @2;
+  mismatch @3;
+  unknown @4;
+  notHome @5;
+  unavailable @6;
+}
+
+struct KeyBeginReply {
+  shard @0 :UInt64;
+  key @1 :UInt64;
+  request @2 :UInt64;
+  verdict @3 :KeyVerdict;
+  answer @4 :Data;
+  home @5 :UInt64;
+  backup @6 :UInt64;
+  fencingNumber @7 :UInt64;
+}
+
+enum KeyState {
+  running @0;
+  answered @1;
+  unknown @2;
+  notRun @3;
+}
+
+struct KeyComplete {
+  shard @0 :UInt64;
+  key @1 :UInt64;
+  request @2 :UInt64;
+  entry @3 :UInt64;
+  state @4 :KeyState;
+  answer @5 :Data;
+}
+
+struct KeyCompleteReply {
+  shard @0 :UInt64;
+  key @1 :UInt64;
+  request @2 :UInt64;
+  accepted @3 :Bool;
+}
+
+struct KeyRecord {
+  key @0 :UInt64;
+  fingerprint @1 :UInt64;
+  request @2 :UInt64;
+  entry @3 :UInt64;
+  state @4 :KeyState;
+  keyTime @5 :KeyTime;
+  answer @6 :Data;
+  age @7 :Int64;
+}
+
+struct KeyCopy {
+  shard @0 :UInt64;
+  home @1 :UInt64;
+  fencingNumber @2 :UInt64;
+  record @3 :KeyRecord;
+}
+
+struct KeyCopyReply {
+  shard @0 :UInt64;
+  key @1 :UInt64;
+  request @2 :UInt64;
+  backup @3 :UInt64;
+  accepted @4 :Bool;
+  fencingNumber @5 :UInt64;
+}
+
+struct KeyRecoveryRequest {
+  shard @0 :UInt64;
+  home @1 :UInt64;
+  fencingNumber @2 :UInt64;
+}
+
+struct KeyRecoveryReply {
+  shard @0 :UInt64;
+  host @1 :UInt64;
+  incarnation @2 :UInt64;
+  fencingNumber @3 :UInt64;
+  refused @4 :Bool;
+  memory @5 :Int64;
+  records @6 :List(KeyRecord);
+}
+
+# Sheet
+
+struct SheetRequest {
+  number @0 :UInt64;
+  partDigests @1 :List(Text);
+}
+
+struct SheetPart {
+  name @0 :Text;
+  text @1 :Data;
+}
+
+struct SheetReply {
+  number @0 :UInt64;
+  manifest @1 :Data;
+  parts @2 :List(SheetPart);
+}
--- /dev/null
+++ b/serving/link/grant_codec.cpp
@@ -0,0 +1,204 @@
+#include <serving/clock/boot_time.hpp>
+#include <serving/link/codec.hpp>
+#include <serving/link/grant_codec.hpp>
+
+namespace marjorampath::schema
+{
+
+namespace
+{
+
+// A newer node may name a kind that this program does not know; it still means `not run`
+error_kind decode_reason(capnp::Text::Reader name)
+{
+    std::string_view const wanted(name.begin(), name.size());
+    for (auto const& row : all_error_answers())
+    {
+        if (row.name == wanted && row.result == outcome::not_run)
+            return row.kind;
+    }
+    return error_kind::no_endpoint;
+}
+
+} // namespace
+
+void encode(serving::node_hello const& value, Hello::Builder wire)
+{
+    wire.setVersion(value.version);
+    wire.setHost(value.host.number());
+    wire.setIncarnation(value.incarnation);
+}
+
+void decode(Hello::Reader wire, serving::node_hello& value)
+{
+    value.version = wire.getVersion();
+    decode(wire.getHost(), value.host);
+    value.incarnation = wire.getIncarnation();
+}
+
+void encode(serving::acknowledgement const& value, Acknowledgement::Builder wire)
+{
+    wire.setAccepted(value.accepted);
+}
+
+void decode(Acknowledgement::Reader wire, serving::acknowledgement& value)
+{
+    value.accepted = wire.getAccepted();
+}
+
+void encode(serving::cell_grant_request const& value, GrantRequest::Builder wire)
+{
+    auto const& question = value.question;
+    wire.setCell(value.cell.number());
+    wire.setRequest(question.request.number());
+    wire.setEntry(question.entry.number());
+    wire.setService(question.service.number());
+    wire.setTeam(question.team.number());
+    wire.setTeamWeight(question.team_weight);
+    wire.setEndpoints(question.endpoints.number());
+    wire.setAdapter(question.adapter.number());
+    wire.setFingerprint(question.fingerprint.number());
+    wire.setPrefix(question.prefix);
+    wire.setPriority(question.priority);
+    wire.setIdempotent(question.idempotent);
+
+    // Clocks differ between hosts, so the time left is sent
+    wire.setRemaining(encode_duration(question.deadline - serving::boot_now()));
+    wire.setPromptTokens(question.prompt_tokens);
+    wire.setMaxTokens(question.max_tokens);
+    wire.setSheetNumber(question.sheet_number);
+}
+
+void decode(GrantRequest::Reader wire, serving::cell_grant_request& value)
+{
+    auto& question = value.question;
+    decode(wire.getCell(), value.cell);
+    decode(wire.getRequest(), question.request);
+    decode(wire.getEntry(), question.entry);
+    decode(wire.getService(), question.service);
+    decode(wire.getTeam(), question.team);
+    question.team_weight = wire.getTeamWeight();
+    decode(wire.getEndpoints(), question.endpoints);
+    decode(wire.getAdapter(), question.adapter);
+    decode(wire.getFingerprint(), question.fingerprint);
+    question.prefix = wire.getPrefix();
+    question.priority = wire.getPriority();
+    question.idempotent = wire.getIdempotent();
+    question.deadline = serving::boot_now() + decode_duration(wire.getRemaining());
+    question.prompt_tokens = wire.getPromptTokens();
+    question.max_tokens = wire.getMaxTokens();
+    question.sheet_number = wire.getSheetNumber();
+}
+
+void encode(serving::cell_grant_reply const& value, GrantReply::Builder wire)
+{
+    wire.setRequest(value.request.number());
+    wire.setFencingNumber(value.fencing_number);
+    if (auto const* granted =
+            std::get_if<serving::cell_grant_reply::granted>(&value.decision))
+        wire.setEndpoint(granted->endpoint.number());
+    else if (auto const* refused =
+                 std::get_if<serving::cell_grant_reply::refused>(&value.decision))
+    {
+        auto const name = answer_of(refused->reason).name;
+        auto refusal = wire.initRefusal();
+        refusal.setReason(kj::heapString(name.data(), name.size()));
+        refusal.setRetryAfter(encode_duration(refused->retry_after));
+    }
+    else
+        wire.setNotOwner(std::get<serving::cell_grant_reply::not_owner>(value.decision)
+                             .owner.number());
+}
+
+void decode(GrantReply::Reader wire, serving::cell_grant_reply& value)
+{
+    decode(wire.getRequest(), value.request);
+    value.fencing_number = wire.getFencingNumber();
+    switch (wire.which())
+    {
+    case GrantReply::ENDPOINT:
+        value.decision =
+            serving::cell_grant_reply::granted{endpoint_id(wire.getEndpoint())};
+        return;
+    case GrantReply::REFUSAL:
+        value.decision = serving::cell_grant_reply::refused{
+            decode_reason(wire.getRefusal().getReason()),
+            decode_duration(wire.getRefusal().getRetryAfter())};
+        return;
+    case GrantReply::NOT_OWNER:
+        value.decision =
+            serving::cell_grant_reply::not_owner{host_id(wire.getNotOwner())};
+        return;
+    }
+    KJ_FAIL_REQUIRE("unknown decision");
+}
+
+void encode(serving::cell_release const& value, ReleaseReport::Builder wire)
+{
+    wire.setCell(value.cell.number());
+    wire.setRequest(value.report.request.number());
+    wire.setEndpoint(value.report.endpoint.number());
+    wire.setReason(encode_enum<ReleaseReason>(value.report.reason));
+    wire.setTokens(value.report.tokens);
+}
+
+void decode(ReleaseReport::Reader wire, serving::cell_release& value)
+{
+    decode(wire.getCell(), value.cell);
+    decode(wire.getRequest(), value.report.request);
+    decode(wire.getEndpoint(), value.report.endpoint);
+    value.report.reason = decode_enum(wire.getReason(), release_reason::endpoint_lost);
+    value.report.tokens = wire.getTokens();
+}
+
+void encode(grant_recall const& value, GrantRecall::Builder wire)
+{
+    wire.setCell(value.cell.number());
+    wire.setOwner(value.owner.number());
+    wire.setFencingNumber(value.fencing_number);
+}
+
+void decode(GrantRecall::Reader wire, grant_recall& value)
+{
+    decode(wire.getCell(), value.cell);
+    decode(wire.getOwner(), value.owner);
+    value.fencing_number = wire.getFencingNumber();
+}
+
+void encode(held_grant const& value, HeldGrant::Builder wire)
+{
+    wire.setRequest(value.request.number());
+    wire.setEndpoint(value.endpoint.number());
+    wire.setAdapter(value.adapter.number());
+    wire.setFingerprint(value.fingerprint.number());
+    wire.setRemaining(encode_duration(value.remaining));
+}
+
+void decode(HeldGrant::Reader wire, held_grant& value)
+{
+    decode(wire.getRequest(), value.request);
+    decode(wire.getEndpoint(), value.endpoint);
+    decode(wire.getAdapter(), value.adapter);
+    decode(wire.getFingerprint(), value.fingerprint);
+    value.remaining = decode_duration(wire.getRemaining());
+}
+
+void encode(grant_list const& value, GrantList::Builder wire)
+{
+    wire.setEntry(value.entry.number());
+    wire.setEntryIncarnation(value.entry_incarnation);
+    wire.setCell(value.cell.number());
+    wire.setFencingNumber(value.fencing_number);
+    encode_list(value.grants, wire.initGrants(wire_size(value.grants)));
+}
+
+void decode(GrantList::Reader wire, grant_list& value)
+{
+    decode(wire.getEntry(), value.entry);
+    value.entry_incarnation = wire.getEntryIncarnation();
+    decode(wire.getCell(), value.cell);
+    value.fencing_number = wire.getFencingNumber();
+    decode_list(wire.getGrants(), value.grants);
+}
+
+} // namespace marjorampath::schema
--- /dev/null
+++ b/serving/link/link_error.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <system_error>
+
+namespace marjorampath::serving
+{
+
+/// Why a call to another node has no reply.
+enum class link_error
+{
+    /// No error.
+    none,
+    /// The call was never sent: the other node certainly did not act on it.
+    unreachable,
+    /// Too many calls are open; the call was never sent.
+    overloaded,
+    /// The connection failed after the call was sent; the other node may have acted on
+    /// it.
+    connection_lost,
+    /// No reply came in time; the other node may have acted on it.
+    timed_out,
+    /// The other node runs an older program that does not know the call.
+    unsupported,
+    /// The other node failed to handle the call, or one side could not read the message.
+    failed
+};
+
+/// Whether a call that failed so was certainly never sent.
+bool was_never_sent(std::error_code const& error) noexcept;
+
+/// The category of codes made from `link_error`.
+std::error_category const& link_error_category() noexcept;
+
+/// Makes an `std::error_code`; found by `std::error_code`'s constructor.
+std::error_code make_error_code(link_error error) noexcept;
+
+} // namespace marjorampath::serving
+
+template <>
+struct std::is_error_code_enum<marjorampath::serving::link_error> : std::true_type
+{
+};
--- /dev/null
+++ b/serving/link/node_server.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <schema/node.capnp.h>
+#include <serving/link/node_service.hpp>
+
+#include <cstddef>
+
+namespace marjorampath::serving
+{
+
+/// Serves the interface `Node` by the functions of a `node_service`.
+class node_server final : public schema::Node::Server
+{
+public:
+    /// Largest number of calls, over all connections, that wait for their reply.
+    static constexpr std::size_t max_open_calls = 65'536;
+
+    /// The service outlives the server.
+    explicit node_server(node_service const& service);
+
+    kj::Promise<void> hello(HelloContext context) override;
+    kj::Promise<void> probe(ProbeContext context) override;
+    kj::Promise<void> indirectProbe(IndirectProbeContext context) override;
+    kj::Promise<void> lease(LeaseContext context) override;
+    kj::Promise<void> releaseLease(ReleaseLeaseContext context) override;
+    kj::Promise<void> grant(GrantContext context) override;
+    kj::Promise<void> releaseGrant(ReleaseGrantContext context) override;
+    kj::Promise<void> recallGrants(RecallGrantsContext context) override;
+    kj::Promise<void> keyBegin(KeyBeginContext context) override;
+    kj::Promise<void> keyComplete(KeyCompleteContext context) override;
+    kj::Promise<void> keyCopy(KeyCopyContext context) override;
+    kj::Promise<void> keyRecover(KeyRecoverContext context) override;
+    kj::Promise<void> fetchSheet(FetchSheetContext context) override;
+
+private:
+    // The caller has given up on a call that was not answered
+    template <class Request>
+    void withdraw(Request const& request) const;
+
+    // Passes a call to its function
+    template <class Request, class Reply, class Context>
+    kj::Promise<void> serve(call_function<Request, Reply> const& function,
+                            Context context);
+
+    // What to do
+    node_service const& service_;
+    // Calls that wait for their reply
+    std::size_t open_calls_ = 0;
+};
+
+} // namespace marjorampath::serving
