--- a/schema/node.capnp
+++ b/schema/node.capnp
@@ -28,6 +28,7 @@
   keyCopy @10 (request :KeyCopy) -> (reply :KeyCopyReply);
   keyRecover @11 (request :KeyRecoveryRequest) -> (reply :KeyRecoveryReply);
   fetchSheet @12 (request :SheetRequest) -> (reply :SheetReply);
+  keySnapshot @13 (request :KeySnapshot) -> (reply :KeySnapshotReply);
 }
 
 struct Acknowledgement {
@@ -106,6 +107,7 @@
   sender @1 :HostRecord;
   subject @2 :UInt64;
   news @3 :Gossip;
+  askerIncarnation @4 :UInt64;
 }
 
 # Leases
@@ -144,6 +146,7 @@
   holderIncarnation @1 :UInt64;
   successor @2 :UInt64;
   resources @3 :List(LeaseWant);
+  requestNumber @4 :UInt64;
 }
 
 # Grants
@@ -255,6 +258,7 @@
   home @5 :UInt64;
   backup @6 :UInt64;
   fencingNumber @7 :UInt64;
+  attempt @8 :UInt32;
 }
 
 enum KeyState {
@@ -289,6 +293,7 @@
   keyTime @5 :KeyTime;
   answer @6 :Data;
   age @7 :Int64;
+  attempt @8 :UInt32;
 }
 
 struct KeyCopy {
@@ -319,10 +324,35 @@
   incarnation @2 :UInt64;
   fencingNumber @3 :UInt64;
   refused @4 :Bool;
-  memory @5 :Int64;
+  knownNumber @5 :UInt64;
+  syncedNumber @6 :UInt64;
+  gap @7 :KeyGap;
+  records @8 :List(KeyRecord);
+}
+
+struct KeyGap {
+  remaining @0 :Int64;
+  completeFrom @1 :Int64;
+}
+
+struct KeySnapshot {
+  shard @0 :UInt64;
+  home @1 :UInt64;
+  fencingNumber @2 :UInt64;
+  part @3 :UInt32;
+  last @4 :Bool;
+  gap @5 :KeyGap;
   records @6 :List(KeyRecord);
 }
 
+struct KeySnapshotReply {
+  shard @0 :UInt64;
+  backup @1 :UInt64;
+  fencingNumber @2 :UInt64;
+  part @3 :UInt32;
+  accepted @4 :Bool;
+}
+
 # Sheet
 
 struct SheetRequest {
--- a/schema/node.capnp.h
+++ b/schema/node.capnp.h
@@ -46,6 +46,8 @@
 CAPNP_DECLARE_SCHEMA(d23274fa704cbd6c);
 CAPNP_DECLARE_SCHEMA(beb0074454153ac6);
 CAPNP_DECLARE_SCHEMA(f23909d09790b162);
+CAPNP_DECLARE_SCHEMA(e515e4cae14fff5d);
+CAPNP_DECLARE_SCHEMA(dee8b09725838fdd);
 CAPNP_DECLARE_SCHEMA(83a77b383dd8f847);
 CAPNP_DECLARE_SCHEMA(f7b2c35c4918fe95);
 CAPNP_DECLARE_SCHEMA(c9be2f42b8b558ce);
@@ -114,6 +116,9 @@
 CAPNP_DECLARE_SCHEMA(af03c10e1dc606cf);
 CAPNP_DECLARE_SCHEMA(c99a90ec9b26c6db);
 CAPNP_DECLARE_SCHEMA(be8a4038054b343f);
+CAPNP_DECLARE_SCHEMA(88b361174089d9bd);
+CAPNP_DECLARE_SCHEMA(a5703cbbc4815229);
+CAPNP_DECLARE_SCHEMA(d7d4f8320d440b02);
 CAPNP_DECLARE_SCHEMA(a9219185ddba9a3e);
 CAPNP_DECLARE_SCHEMA(bc777683562080e6);
 CAPNP_DECLARE_SCHEMA(b65107e7a52ea642);
@@ -158,6 +163,8 @@
   struct KeyRecoverResults;
   struct FetchSheetParams;
   struct FetchSheetResults;
+  struct KeySnapshotParams;
+  struct KeySnapshotResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -557,6 +564,36 @@
   };
 };
 
+struct Node::KeySnapshotParams {
+  KeySnapshotParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e515e4cae14fff5d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::KeySnapshotResults {
+  KeySnapshotResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dee8b09725838fdd, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Acknowledgement {
   Acknowledgement() = delete;
 
@@ -702,7 +739,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e77a6e6126ac05b8, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e77a6e6126ac05b8, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -777,7 +814,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b632bceb26555ba0, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b632bceb26555ba0, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1044,7 +1081,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be8a4038054b343f, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(be8a4038054b343f, 7, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct KeyGap {
+  KeyGap() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(88b361174089d9bd, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct KeySnapshot {
+  KeySnapshot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5703cbbc4815229, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct KeySnapshotReply {
+  KeySnapshotReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d7d4f8320d440b02, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1143,6 +1225,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::marjorampath::schema::Node::FetchSheetParams,  ::marjorampath::schema::Node::FetchSheetResults> fetchSheetRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::KeySnapshotParams,  ::marjorampath::schema::Node::KeySnapshotResults> keySnapshotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1211,6 +1295,10 @@
   typedef  ::marjorampath::schema::Node::FetchSheetResults FetchSheetResults;
   typedef ::capnp::CallContext<FetchSheetParams, FetchSheetResults> FetchSheetContext;
   virtual ::kj::Promise<void> fetchSheet(FetchSheetContext context);
+  typedef  ::marjorampath::schema::Node::KeySnapshotParams KeySnapshotParams;
+  typedef  ::marjorampath::schema::Node::KeySnapshotResults KeySnapshotResults;
+  typedef ::capnp::CallContext<KeySnapshotParams, KeySnapshotResults> KeySnapshotContext;
+  virtual ::kj::Promise<void> keySnapshot(KeySnapshotContext context);
 
   inline  ::marjorampath::schema::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3355,6 +3443,170 @@
 };
 #endif  // !CAPNP_LITE
 
+class Node::KeySnapshotParams::Reader {
+public:
+  typedef KeySnapshotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::marjorampath::schema::KeySnapshot::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::KeySnapshotParams::Builder {
+public:
+  typedef KeySnapshotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::marjorampath::schema::KeySnapshot::Builder getRequest();
+  inline void setRequest( ::marjorampath::schema::KeySnapshot::Reader value);
+  inline  ::marjorampath::schema::KeySnapshot::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::KeySnapshot>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshot> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::KeySnapshotParams::Pipeline {
+public:
+  typedef KeySnapshotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::marjorampath::schema::KeySnapshot::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::KeySnapshotResults::Reader {
+public:
+  typedef KeySnapshotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::marjorampath::schema::KeySnapshotReply::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::KeySnapshotResults::Builder {
+public:
+  typedef KeySnapshotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::marjorampath::schema::KeySnapshotReply::Builder getReply();
+  inline void setReply( ::marjorampath::schema::KeySnapshotReply::Reader value);
+  inline  ::marjorampath::schema::KeySnapshotReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::KeySnapshotResults::Pipeline {
+public:
+  typedef KeySnapshotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::marjorampath::schema::KeySnapshotReply::Pipeline getReply();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Acknowledgement::Reader {
 public:
   typedef Acknowledgement Reads;
@@ -4240,6 +4492,8 @@
   inline bool hasNews() const;
   inline  ::marjorampath::schema::Gossip::Reader getNews() const;
 
+  inline  ::uint64_t getAskerIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4288,6 +4542,9 @@
   inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
   inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
 
+  inline  ::uint64_t getAskerIncarnation();
+  inline void setAskerIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4721,6 +4978,8 @@
   inline bool hasResources() const;
   inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader getResources() const;
 
+  inline  ::uint64_t getRequestNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4765,6 +5024,9 @@
   inline void adoptResources(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> disownResources();
 
+  inline  ::uint64_t getRequestNumber();
+  inline void setRequestNumber( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5733,6 +5995,8 @@
 
   inline  ::uint64_t getFencingNumber() const;
 
+  inline  ::uint32_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5789,6 +6053,9 @@
   inline  ::uint64_t getFencingNumber();
   inline void setFencingNumber( ::uint64_t value);
 
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6047,6 +6314,8 @@
 
   inline  ::int64_t getAge() const;
 
+  inline  ::uint32_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6107,6 +6376,9 @@
   inline  ::int64_t getAge();
   inline void setAge( ::int64_t value);
 
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6445,7 +6717,12 @@
 
   inline bool getRefused() const;
 
-  inline  ::int64_t getMemory() const;
+  inline  ::uint64_t getKnownNumber() const;
+
+  inline  ::uint64_t getSyncedNumber() const;
+
+  inline bool hasGap() const;
+  inline  ::marjorampath::schema::KeyGap::Reader getGap() const;
 
   inline bool hasRecords() const;
   inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
@@ -6493,8 +6770,18 @@
   inline bool getRefused();
   inline void setRefused(bool value);
 
-  inline  ::int64_t getMemory();
-  inline void setMemory( ::int64_t value);
+  inline  ::uint64_t getKnownNumber();
+  inline void setKnownNumber( ::uint64_t value);
+
+  inline  ::uint64_t getSyncedNumber();
+  inline void setSyncedNumber( ::uint64_t value);
+
+  inline bool hasGap();
+  inline  ::marjorampath::schema::KeyGap::Builder getGap();
+  inline void setGap( ::marjorampath::schema::KeyGap::Reader value);
+  inline  ::marjorampath::schema::KeyGap::Builder initGap();
+  inline void adoptGap(::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> disownGap();
 
   inline bool hasRecords();
   inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
@@ -6521,6 +6808,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::marjorampath::schema::KeyGap::Pipeline getGap();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6529,9 +6817,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SheetRequest::Reader {
+class KeyGap::Reader {
 public:
-  typedef SheetRequest Reads;
+  typedef KeyGap Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6546,10 +6834,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber() const;
+  inline  ::int64_t getRemaining() const;
 
-  inline bool hasPartDigests() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPartDigests() const;
+  inline  ::int64_t getCompleteFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6563,9 +6850,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SheetRequest::Builder {
+class KeyGap::Builder {
 public:
-  typedef SheetRequest Builds;
+  typedef KeyGap Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6579,16 +6866,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline  ::int64_t getRemaining();
+  inline void setRemaining( ::int64_t value);
 
-  inline bool hasPartDigests();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPartDigests();
-  inline void setPartDigests( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setPartDigests(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPartDigests(unsigned int size);
-  inline void adoptPartDigests(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPartDigests();
+  inline  ::int64_t getCompleteFrom();
+  inline void setCompleteFrom( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -6600,9 +6882,9 @@
 };
 
 #if !CAPNP_LITE
-class SheetRequest::Pipeline {
+class KeyGap::Pipeline {
 public:
-  typedef SheetRequest Pipelines;
+  typedef KeyGap Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -6616,9 +6898,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class SheetPart::Reader {
+class KeySnapshot::Reader {
 public:
-  typedef SheetPart Reads;
+  typedef KeySnapshot Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -6633,11 +6915,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline  ::uint64_t getShard() const;
 
-  inline bool hasText() const;
-  inline  ::capnp::Data::Reader getText() const;
+  inline  ::uint64_t getHome() const;
+
+  inline  ::uint64_t getFencingNumber() const;
+
+  inline  ::uint32_t getPart() const;
+
+  inline bool getLast() const;
+
+  inline bool hasGap() const;
+  inline  ::marjorampath::schema::KeyGap::Reader getGap() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -6651,9 +6943,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class SheetPart::Builder {
+class KeySnapshot::Builder {
 public:
-  typedef SheetPart Builds;
+  typedef KeySnapshot Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -6667,9 +6959,299 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
+  inline  ::uint64_t getShard();
+  inline void setShard( ::uint64_t value);
+
+  inline  ::uint64_t getHome();
+  inline void setHome( ::uint64_t value);
+
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
+
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
+
+  inline bool getLast();
+  inline void setLast(bool value);
+
+  inline bool hasGap();
+  inline  ::marjorampath::schema::KeyGap::Builder getGap();
+  inline void setGap( ::marjorampath::schema::KeyGap::Reader value);
+  inline  ::marjorampath::schema::KeyGap::Builder initGap();
+  inline void adoptGap(::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> disownGap();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> disownRecords();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KeySnapshot::Pipeline {
+public:
+  typedef KeySnapshot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::marjorampath::schema::KeyGap::Pipeline getGap();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class KeySnapshotReply::Reader {
+public:
+  typedef KeySnapshotReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard() const;
+
+  inline  ::uint64_t getBackup() const;
+
+  inline  ::uint64_t getFencingNumber() const;
+
+  inline  ::uint32_t getPart() const;
+
+  inline bool getAccepted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class KeySnapshotReply::Builder {
+public:
+  typedef KeySnapshotReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getShard();
+  inline void setShard( ::uint64_t value);
+
+  inline  ::uint64_t getBackup();
+  inline void setBackup( ::uint64_t value);
+
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
+
+  inline  ::uint32_t getPart();
+  inline void setPart( ::uint32_t value);
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class KeySnapshotReply::Pipeline {
+public:
+  typedef KeySnapshotReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SheetRequest::Reader {
+public:
+  typedef SheetRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasPartDigests() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPartDigests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SheetRequest::Builder {
+public:
+  typedef SheetRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasPartDigests();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPartDigests();
+  inline void setPartDigests( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPartDigests(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPartDigests(unsigned int size);
+  inline void adoptPartDigests(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPartDigests();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SheetRequest::Pipeline {
+public:
+  typedef SheetRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SheetPart::Reader {
+public:
+  typedef SheetPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasText() const;
+  inline  ::capnp::Data::Reader getText() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SheetPart::Builder {
+public:
+  typedef SheetPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
   inline  ::capnp::Text::Builder initName(unsigned int size);
   inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownName();
@@ -7843,6 +8425,84 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Node::KeySnapshotParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::KeySnapshotParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::KeySnapshot::Reader Node::KeySnapshotParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::KeySnapshot::Builder Node::KeySnapshotParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::KeySnapshot::Pipeline Node::KeySnapshotParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::KeySnapshot::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::KeySnapshotParams::Builder::setRequest( ::marjorampath::schema::KeySnapshot::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::KeySnapshot::Builder Node::KeySnapshotParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::KeySnapshotParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::KeySnapshot>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshot> Node::KeySnapshotParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::KeySnapshotResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::KeySnapshotResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::KeySnapshotReply::Reader Node::KeySnapshotResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::KeySnapshotReply::Builder Node::KeySnapshotResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::KeySnapshotReply::Pipeline Node::KeySnapshotResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::KeySnapshotReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::KeySnapshotResults::Builder::setReply( ::marjorampath::schema::KeySnapshotReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::KeySnapshotReply::Builder Node::KeySnapshotResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::KeySnapshotResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply> Node::KeySnapshotResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Acknowledgement::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8619,6 +9279,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ProbeReply::Reader::getAskerIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ProbeReply::Builder::getAskerIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ProbeReply::Builder::setAskerIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LeaseWant::Reader::getResource() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -8968,9 +9642,23 @@
   ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> LeaseRelease::Builder::disownResources() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> LeaseRelease::Builder::disownResources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LeaseRelease::Reader::getRequestNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseRelease::Builder::getRequestNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void LeaseRelease::Builder::setRequestNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint64_t GrantRequest::Reader::getCell() const {
@@ -9898,6 +10586,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t KeyBeginReply::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t KeyBeginReply::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void KeyBeginReply::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t KeyComplete::Reader::getShard() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10215,6 +10917,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t KeyRecord::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t KeyRecord::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void KeyRecord::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t KeyCopy::Reader::getShard() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -10492,54 +11208,348 @@
       ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t KeyRecoveryReply::Reader::getMemory() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t KeyRecoveryReply::Reader::getKnownNumber() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t KeyRecoveryReply::Builder::getMemory() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t KeyRecoveryReply::Builder::getKnownNumber() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setMemory( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void KeyRecoveryReply::Builder::setKnownNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyRecoveryReply::Reader::hasRecords() const {
+inline  ::uint64_t KeyRecoveryReply::Reader::getSyncedNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeyRecoveryReply::Builder::getSyncedNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void KeyRecoveryReply::Builder::setSyncedNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeyRecoveryReply::Reader::hasGap() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyRecoveryReply::Builder::hasRecords() {
+inline bool KeyRecoveryReply::Builder::hasGap() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
+inline  ::marjorampath::schema::KeyGap::Reader KeyRecoveryReply::Reader::getGap() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::KeyGap::Builder KeyRecoveryReply::Builder::getGap() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::KeyGap::Pipeline KeyRecoveryReply::Pipeline::getGap() {
+  return  ::marjorampath::schema::KeyGap::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void KeyRecoveryReply::Builder::setGap( ::marjorampath::schema::KeyGap::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::KeyGap::Builder KeyRecoveryReply::Builder::initGap() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeyRecoveryReply::Builder::adoptGap(
+    ::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> KeyRecoveryReply::Builder::disownGap() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool KeyRecoveryReply::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeyRecoveryReply::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
 inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader KeyRecoveryReply::Reader::getRecords() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeyRecoveryReply::Builder::getRecords() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void KeyRecoveryReply::Builder::setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeyRecoveryReply::Builder::initRecords(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void KeyRecoveryReply::Builder::adoptRecords(
     ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> KeyRecoveryReply::Builder::disownRecords() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t KeyGap::Reader::getRemaining() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t KeyGap::Builder::getRemaining() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KeyGap::Builder::setRemaining( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t KeyGap::Reader::getCompleteFrom() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t KeyGap::Builder::getCompleteFrom() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KeyGap::Builder::setCompleteFrom( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeySnapshot::Reader::getShard() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeySnapshot::Builder::getShard() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshot::Builder::setShard( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeySnapshot::Reader::getHome() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeySnapshot::Builder::getHome() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshot::Builder::setHome( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeySnapshot::Reader::getFencingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeySnapshot::Builder::getFencingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshot::Builder::setFencingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t KeySnapshot::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t KeySnapshot::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshot::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeySnapshot::Reader::getLast() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool KeySnapshot::Builder::getLast() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshot::Builder::setLast(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeySnapshot::Reader::hasGap() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeySnapshot::Builder::hasGap() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::KeyGap::Reader KeySnapshot::Reader::getGap() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::KeyGap::Builder KeySnapshot::Builder::getGap() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::KeyGap::Pipeline KeySnapshot::Pipeline::getGap() {
+  return  ::marjorampath::schema::KeyGap::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void KeySnapshot::Builder::setGap( ::marjorampath::schema::KeyGap::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::KeyGap::Builder KeySnapshot::Builder::initGap() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeySnapshot::Builder::adoptGap(
+    ::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> KeySnapshot::Builder::disownGap() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool KeySnapshot::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeySnapshot::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader KeySnapshot::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeySnapshot::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void KeySnapshot::Builder::setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeySnapshot::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void KeySnapshot::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> KeySnapshot::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t KeySnapshotReply::Reader::getShard() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeySnapshotReply::Builder::getShard() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshotReply::Builder::setShard( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeySnapshotReply::Reader::getBackup() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeySnapshotReply::Builder::getBackup() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshotReply::Builder::setBackup( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeySnapshotReply::Reader::getFencingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeySnapshotReply::Builder::getFencingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshotReply::Builder::setFencingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t KeySnapshotReply::Reader::getPart() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t KeySnapshotReply::Builder::getPart() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshotReply::Builder::setPart( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeySnapshotReply::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool KeySnapshotReply::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void KeySnapshotReply::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SheetRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/link/key_codec.cpp
+++ b/serving/link/key_codec.cpp
@@ -47,6 +47,7 @@
     wire.setShard(value.shard.number());
     wire.setKey(value.key.number());
     wire.setRequest(value.request.number());
+    wire.setAttempt(value.attempt);
     wire.setVerdict(encode_enum<KeyVerdict>(value.verdict));
     wire.setAnswer(encode_bytes(value.answer));
     wire.setHome(value.home.number());
@@ -59,6 +60,7 @@
     decode(wire.getShard(), value.shard);
     decode(wire.getKey(), value.key);
     decode(wire.getRequest(), value.request);
+    value.attempt = wire.getAttempt();
     value.verdict = decode_enum(wire.getVerdict(), key_verdict::unavailable);
     value.answer = decode_bytes(wire.getAnswer());
     decode(wire.getHome(), value.home);
@@ -107,6 +109,7 @@
     wire.setKey(value.key.number());
     wire.setFingerprint(value.fingerprint.number());
     wire.setRequest(value.request.number());
+    wire.setAttempt(value.attempt);
     wire.setEntry(value.entry.number());
     wire.setState(encode_enum<KeyState>(value.state));
     encode_key_time(value.key_time, wire.initKeyTime());
@@ -119,6 +122,7 @@
     decode(wire.getKey(), value.key);
     decode(wire.getFingerprint(), value.fingerprint);
     decode(wire.getRequest(), value.request);
+    value.attempt = wire.getAttempt();
     decode(wire.getEntry(), value.entry);
     value.state = decode_enum(wire.getState(), key_state::not_run);
     value.key_time = decode_key_time(wire.getKeyTime());
@@ -183,7 +187,9 @@
     wire.setIncarnation(value.incarnation);
     wire.setFencingNumber(value.fencing_number);
     wire.setRefused(value.refused);
-    wire.setMemory(encode_duration(value.memory));
+    wire.setKnownNumber(value.known_number);
+    wire.setSyncedNumber(value.synced_number);
+    encode(value.gap, wire.initGap());
     encode_list(value.records, wire.initRecords(wire_size(value.records)));
 }
 
@@ -194,8 +200,62 @@
     value.incarnation = wire.getIncarnation();
     value.fencing_number = wire.getFencingNumber();
     value.refused = wire.getRefused();
-    value.memory = decode_duration(wire.getMemory());
+    value.known_number = wire.getKnownNumber();
+    value.synced_number = wire.getSyncedNumber();
+    decode(wire.getGap(), value.gap);
     decode_list(wire.getRecords(), value.records);
 }
 
+void encode(key_gap const& value, KeyGap::Builder wire)
+{
+    wire.setRemaining(encode_duration(value.remaining));
+    wire.setCompleteFrom(value.complete_from.count());
+}
+
+void decode(KeyGap::Reader wire, key_gap& value)
+{
+    value.remaining = decode_duration(wire.getRemaining());
+    value.complete_from = decode_wall(wire.getCompleteFrom());
+}
+
+void encode(key_snapshot const& value, KeySnapshot::Builder wire)
+{
+    wire.setShard(value.shard.number());
+    wire.setHome(value.home.number());
+    wire.setFencingNumber(value.fencing_number);
+    wire.setPart(value.part);
+    wire.setLast(value.last);
+    encode(value.gap, wire.initGap());
+    encode_list(value.records, wire.initRecords(wire_size(value.records)));
+}
+
+void decode(KeySnapshot::Reader wire, key_snapshot& value)
+{
+    decode(wire.getShard(), value.shard);
+    decode(wire.getHome(), value.home);
+    value.fencing_number = wire.getFencingNumber();
+    value.part = wire.getPart();
+    value.last = wire.getLast();
+    decode(wire.getGap(), value.gap);
+    decode_list(wire.getRecords(), value.records);
+}
+
+void encode(key_snapshot_reply const& value, KeySnapshotReply::Builder wire)
+{
+    wire.setShard(value.shard.number());
+    wire.setBackup(value.backup.number());
+    wire.setFencingNumber(value.fencing_number);
+    wire.setPart(value.part);
+    wire.setAccepted(value.accepted);
+}
+
+void decode(KeySnapshotReply::Reader wire, key_snapshot_reply& value)
+{
+    decode(wire.getShard(), value.shard);
+    decode(wire.getBackup(), value.backup);
+    value.fencing_number = wire.getFencingNumber();
+    value.part = wire.getPart();
+    value.accepted = wire.getAccepted();
+}
+
 } // namespace marjorampath::schema
--- a/serving/link/key_codec.hpp
+++ b/serving/link/key_codec.hpp
@@ -6,8 +6,11 @@
 #include <marjorampath/key/key_complete_reply.hpp>
 #include <marjorampath/key/key_copy.hpp>
 #include <marjorampath/key/key_copy_reply.hpp>
+#include <marjorampath/key/key_gap.hpp>
 #include <marjorampath/key/key_recovery_reply.hpp>
 #include <marjorampath/key/key_recovery_request.hpp>
+#include <marjorampath/key/key_snapshot.hpp>
+#include <marjorampath/key/key_snapshot_reply.hpp>
 #include <schema/node.capnp.h>
 
 namespace marjorampath::schema
@@ -67,4 +70,22 @@
 /// Reads a key recovery reply.
 void decode(KeyRecoveryReply::Reader wire, key_recovery_reply& value);
 
+/// Writes a key gap.
+void encode(key_gap const& value, KeyGap::Builder wire);
+
+/// Reads a key gap.
+void decode(KeyGap::Reader wire, key_gap& value);
+
+/// Writes a key snapshot.
+void encode(key_snapshot const& value, KeySnapshot::Builder wire);
+
+/// Reads a key snapshot.
+void decode(KeySnapshot::Reader wire, key_snapshot& value);
+
+/// Writes a key snapshot reply.
+void encode(key_snapshot_reply const& value, KeySnapshotReply::Builder wire);
+
+/// Reads a key snapshot reply.
+void decode(KeySnapshotReply::Reader wire, key_snapshot_reply& value);
+
 } // namespace marjorampath::schema
--- a/serving/link/lease_codec.cpp
+++ b/serving/link/lease_codec.cpp
@@ -74,6 +74,7 @@
 {
     wire.setHolder(value.holder.number());
     wire.setHolderIncarnation(value.holder_incarnation);
+    wire.setRequestNumber(value.request_number);
     wire.setSuccessor(value.successor.number());
     encode_list(value.resources, wire.initResources(wire_size(value.resources)));
 }
@@ -82,6 +83,7 @@
 {
     decode(wire.getHolder(), value.holder);
     value.holder_incarnation = wire.getHolderIncarnation();
+    value.request_number = wire.getRequestNumber();
     decode(wire.getSuccessor(), value.successor);
     decode_list(wire.getResources(), value.resources);
 }
--- a/serving/link/node_method.hpp
+++ b/serving/link/node_method.hpp
@@ -158,4 +158,15 @@
     }
 };
 
+/// `keySnapshot`
+template <>
+struct node_method<key_snapshot>
+{
+    using reply = key_snapshot_reply;
+    static auto start(schema::Node::Client& node)
+    {
+        return node.keySnapshotRequest();
+    }
+};
+
 } // namespace marjorampath::serving
--- a/serving/link/node_server.cpp
+++ b/serving/link/node_server.cpp
@@ -141,4 +141,9 @@
     return serve(service_.on_sheet, context);
 }
 
+kj::Promise<void> node_server::keySnapshot(KeySnapshotContext context)
+{
+    return serve(service_.on_key_snapshot, context);
+}
+
 } // namespace marjorampath::serving
--- a/serving/link/node_server.hpp
+++ b/serving/link/node_server.hpp
@@ -31,6 +31,7 @@
     kj::Promise<void> keyCopy(KeyCopyContext context) override;
     kj::Promise<void> keyRecover(KeyRecoverContext context) override;
     kj::Promise<void> fetchSheet(FetchSheetContext context) override;
+    kj::Promise<void> keySnapshot(KeySnapshotContext context) override;
 
 private:
     // The caller has given up on a call that was not answered
--- a/serving/link/node_service.hpp
+++ b/serving/link/node_service.hpp
@@ -10,6 +10,8 @@
 #include <marjorampath/key/key_copy_reply.hpp>
 #include <marjorampath/key/key_recovery_reply.hpp>
 #include <marjorampath/key/key_recovery_request.hpp>
+#include <marjorampath/key/key_snapshot.hpp>
+#include <marjorampath/key/key_snapshot_reply.hpp>
 #include <marjorampath/lease/grant_list.hpp>
 #include <marjorampath/lease/grant_recall.hpp>
 #include <marjorampath/lease/lease_release.hpp>
@@ -68,6 +70,8 @@
     call_function<key_copy, key_copy_reply> on_key_copy;
     /// A new home asks for what is remembered here.
     call_function<key_recovery_request, key_recovery_reply> on_key_recovery;
+    /// A home's records, sent to a new backup.
+    call_function<key_snapshot, key_snapshot_reply> on_key_snapshot;
     /// A peer asks for the sheet.
     call_function<sheet_request, sheet_reply> on_sheet;
 };
--- a/tests/unit/link/codec_test.cpp
+++ b/tests/unit/link/codec_test.cpp
@@ -113,6 +113,7 @@
     return {.key = key_id(1),
             .fingerprint = fingerprint_id(2),
             .request = request_id(3),
+            .attempt = 7,
             .entry = host_id(4),
             .state = key_state::answered,
             .key_time = wall_milliseconds(5),
@@ -130,7 +131,7 @@
     auto const sender = news.hosts.front();
     check<schema::Probe>(probe{1, sender, host_id(2), news});
     check<schema::IndirectProbe>(indirect_probe{1, sender, host_id(2), news});
-    check<schema::ProbeReply>(probe_reply{1, sender, host_id(2), news});
+    check<schema::ProbeReply>(probe_reply{1, sender, host_id(2), 3, news});
 }
 
 BOOST_AUTO_TEST_CASE(lease_messages)
@@ -143,8 +144,11 @@
                     true,
                     duration(4),
                     {{resource_id(5), true, host_id(6), duration(7), 8}}});
-    check<schema::LeaseRelease>(
-        lease_release{host_id(1), 2, host_id(3), {{resource_id(4), 5}}});
+    check<schema::LeaseRelease>(lease_release{.holder = host_id(1),
+                                              .holder_incarnation = 2,
+                                              .request_number = 6,
+                                              .successor = host_id(3),
+                                              .resources = {{resource_id(4), 5}}});
 }
 
 BOOST_AUTO_TEST_CASE(grant_messages)
@@ -229,7 +233,7 @@
     check<schema::KeyBegin>(key_begin{resource_id(1), key_id(2), fingerprint_id(3),
                                       request_id(4), host_id(5), wall_milliseconds(6)});
     check<schema::KeyBeginReply>(key_begin_reply{resource_id(1), key_id(2), request_id(3),
-                                                 key_verdict::replay, "answer",
+                                                 9, key_verdict::replay, "answer",
                                                  host_id(4), host_id(5), 6});
     check<schema::KeyComplete>(key_complete{resource_id(1), key_id(2), request_id(3),
                                             host_id(4), key_state::answered, "answer"});
@@ -240,8 +244,25 @@
         key_copy_reply{resource_id(1), key_id(2), request_id(3), host_id(4), true, 5});
     check<schema::KeyRecoveryRequest>(
         key_recovery_request{resource_id(1), host_id(2), 3});
-    check<schema::KeyRecoveryReply>(key_recovery_reply{
-        resource_id(1), host_id(2), 3, 4, true, duration(5), {sample_record()}});
+    check<schema::KeyRecoveryReply>(
+        key_recovery_reply{resource_id(1),
+                           host_id(2),
+                           3,
+                           4,
+                           true,
+                           5,
+                           6,
+                           {duration(7), wall_milliseconds(8)},
+                           {sample_record()}});
+    check<schema::KeySnapshot>(key_snapshot{resource_id(1),
+                                            host_id(2),
+                                            3,
+                                            4,
+                                            true,
+                                            {duration(5), wall_milliseconds(6)},
+                                            {sample_record()}});
+    check<schema::KeySnapshotReply>(
+        key_snapshot_reply{resource_id(1), host_id(2), 3, 4, true});
 }
 
 BOOST_AUTO_TEST_CASE(sheet_messages)
