--- /dev/null
+++ b/marjorampath/suspect/suspect_registry.cpp
@@ -0,0 +1,177 @@
+#include <marjorampath/core/hash.hpp>
+#include <marjorampath/suspect/suspect_registry.hpp>
+
+#include <algorithm>
+
+namespace marjorampath
+{
+
+suspect_registry::suspect_registry(suspect_options options) : options_(options) {}
+
+suspicion suspect_registry::judge(time_point now, fingerprint_id fingerprint) const
+{
+    auto const running = copies_.find(fingerprint);
+    auto const copies = running != copies_.end() ? running->second : 0;
+    auto const found = records_.find(fingerprint);
+    if (found != records_.end() && found->second.expires > now)
+    {
+        if (found->second.known.second_crash != 0)
+            return suspicion::convicted;
+        return copies == 0 ? suspicion::alone : suspicion::wait;
+    }
+    if (copies >= options_.unproven_copies && !proven_.contains(fingerprint))
+        return suspicion::wait;
+    return suspicion::none;
+}
+
+void suspect_registry::on_grant(request_id request, fingerprint_id fingerprint,
+                                endpoint_id endpoint)
+{
+    if (flights_.emplace(request, flight{fingerprint, endpoint}).second)
+        ++copies_[fingerprint];
+}
+
+void suspect_registry::on_end(request_id request, bool finished)
+{
+    auto const found = flights_.find(request);
+    if (found == flights_.end())
+        return;
+    auto const fingerprint = found->second.fingerprint;
+    flights_.erase(found);
+    auto const running = copies_.find(fingerprint);
+    if (--running->second == 0)
+        copies_.erase(running);
+    if (!finished)
+        return;
+
+    // A suspect that gave its whole answer was innocent
+    auto const suspect = records_.find(fingerprint);
+    if (suspect != records_.end() && suspect->second.known.second_crash == 0)
+        records_.erase(suspect);
+    if (proven_.size() < options_.max_records)
+        proven_.insert(fingerprint);
+}
+
+std::vector<fingerprint_id> suspect_registry::on_crash(time_point now,
+                                                       wall_milliseconds wall,
+                                                       endpoint_id endpoint,
+                                                       std::uint64_t boot_number)
+{
+    // Never zero, which means no crash
+    auto const crash = hash_combine(endpoint.number(), boot_number) | 1U;
+    std::vector<request_id> ended;
+    std::vector<fingerprint_id> suspects;
+    for (auto const& [request, running] : flights_)
+    {
+        if (running.endpoint != endpoint)
+            continue;
+        ended.push_back(request);
+        suspects.push_back(running.fingerprint);
+    }
+    std::sort(suspects.begin(), suspects.end());
+    suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
+    for (auto const& request : ended)
+        on_end(request, false);
+    for (auto const& fingerprint : suspects)
+    {
+        proven_.erase(fingerprint);
+        add_crash(now, wall, fingerprint, crash);
+    }
+    return suspects;
+}
+
+void suspect_registry::add_crash(time_point now, wall_milliseconds wall,
+                                 fingerprint_id fingerprint, std::uint64_t crash)
+{
+    conviction added;
+    added.fingerprint = fingerprint;
+    added.first_crash = crash;
+    added.crashed_at = wall;
+    added.remaining = options_.suspicion;
+    merge(now, added);
+}
+
+void suspect_registry::merge(time_point now, conviction const& other)
+{
+    auto const freed = releases_.find(other.fingerprint);
+    if (freed != releases_.end() && freed->second.expires > now &&
+        other.crashed_at <= freed->second.at)
+        return;
+    if (!records_.contains(other.fingerprint) && records_.size() >= options_.max_records)
+        return;
+
+    auto& record = records_[other.fingerprint];
+    if (record.expires <= now)
+        record.known = {};
+    auto& known = record.known;
+    auto const convicted_before = known.second_crash != 0;
+    known.fingerprint = other.fingerprint;
+    known.crashed_at = std::max(known.crashed_at, other.crashed_at);
+    for (auto const crash : {other.first_crash, other.second_crash})
+    {
+        if (crash == 0 || crash == known.first_crash || crash == known.second_crash)
+            continue;
+        if (known.first_crash == 0)
+            known.first_crash = crash;
+        else if (known.second_crash == 0)
+            known.second_crash = crash;
+    }
+
+    // Conviction by two reports of one crash each starts its own time here
+    auto const convicted = known.second_crash != 0;
+    auto const remaining = convicted && other.second_crash == 0 && !convicted_before
+                               ? options_.conviction
+                               : other.remaining;
+    record.expires = std::max(record.expires, now + remaining);
+}
+
+void suspect_registry::release(time_point now, conviction_release const& order)
+{
+    auto& known = releases_[order.fingerprint];
+    known.at = std::max(known.at, order.released_at);
+    known.expires = std::max(known.expires, now + order.remaining);
+    auto const found = records_.find(order.fingerprint);
+    if (found != records_.end() && found->second.known.crashed_at <= order.released_at)
+        records_.erase(found);
+}
+
+std::vector<conviction> suspect_registry::convictions(time_point now) const
+{
+    std::vector<conviction> found;
+    for (auto const& [fingerprint, record] : records_)
+    {
+        if (record.expires <= now)
+            continue;
+        found.push_back(record.known);
+        found.back().remaining = record.expires - now;
+    }
+    std::sort(found.begin(), found.end(),
+              [](auto const& left, auto const& right)
+              {
+                  return left.crashed_at != right.crashed_at
+                             ? left.crashed_at > right.crashed_at
+                             : left.fingerprint < right.fingerprint;
+              });
+    return found;
+}
+
+std::vector<conviction_release> suspect_registry::releases(time_point now) const
+{
+    std::vector<conviction_release> found;
+    for (auto const& [fingerprint, known] : releases_)
+    {
+        if (known.expires > now)
+            found.push_back({fingerprint, known.at, known.expires - now});
+    }
+    return found;
+}
+
+void suspect_registry::forget_old(time_point now)
+{
+    std::erase_if(records_,
+                  [&](auto const& entry) { return entry.second.expires <= now; });
+    std::erase_if(releases_,
+                  [&](auto const& entry) { return entry.second.expires <= now; });
+}
+
+} // namespace marjorampath
