Join nodes to a fleet: membership, leases and grants between hosts

Cause: the state machines of membership, leases and grants had no shell, so every node decided alone.

Change: serving/fleet carries their messages as calls between hosts: links by the host list, probes, lease requests, and the router that puts each caller's request to the owner of the cell, keeps what was granted, and answers a new owner's recall. A node with the setting fleet.address joins; its cell starts again when another host owns it.

--- a/serving/node/cell_host.hpp
+++ b/serving/node/cell_host.hpp
@@ -61,16 +61,16 @@
     template <class... CellArguments>
     cell_host(boost::asio::io_context& control, cell_orders orders,
               CellArguments&&... cell_arguments)
-        : timer_(control), orders_(std::move(orders)),
-          cell_(std::forward<CellArguments>(cell_arguments)...)
+        : timer_(control), orders_(std::move(orders))
     {
+        cell_.emplace(std::forward<CellArguments>(cell_arguments)...);
     }
 
     /// The cell, for events that this class has no function for; `feed` carries out what
     /// they lead to.
     Cell& decisions() noexcept
     {
-        return cell_;
+        return *cell_;
     }
 
     /// Passes an event to the cell: `feed([&](Cell& cell, time_point now, cell_actions&
@@ -79,12 +79,44 @@
     void feed(Event&& event)
     {
         cell_actions actions;
-        std::forward<Event>(event)(cell_, boot_now(), actions);
+        std::forward<Event>(event)(*cell_, boot_now(), actions);
         for (auto const& action : actions)
             std::visit([this](auto const& each) { carry_out(each); }, action);
         arm_timer();
     }
 
+    /// An endpoint was listed or has reported.
+    void on_endpoint(endpoint_report const& report)
+    {
+        endpoints_.insert_or_assign(report.endpoint, report);
+        feed([&](Cell& cell, time_point now, cell_actions& out)
+             { cell.on_endpoint(report, now, out); });
+    }
+
+    /// An endpoint is no longer listed.
+    void on_endpoint_gone(endpoint_id endpoint)
+    {
+        endpoints_.erase(endpoint);
+        feed([&](Cell& cell, time_point now, cell_actions& out)
+             { cell.on_endpoint_gone(endpoint, now, out); });
+    }
+
+    /// Starts again with a cell that knows the endpoints only. Requests that wait are
+    /// refused as `owner_unreachable`, so that they are put to the new owner.
+    template <class... CellArguments>
+    void reset(CellArguments&&... cell_arguments)
+    {
+        auto const waiting = std::exchange(waiting_, {});
+        cell_.emplace(std::forward<CellArguments>(cell_arguments)...);
+        for (auto const& [request, callback] : waiting)
+            callback(refuse_action{.request = request,
+                                   .entry = {},
+                                   .reason = error_kind::owner_unreachable});
+        auto const known = endpoints_;
+        for (auto const& [endpoint, report] : known)
+            on_endpoint(report);
+    }
+
     /// Answers a grant request by this cell. The callback is called once, unless the
     /// request is withdrawn first.
     void request(grant_request const& question, grant_callback answer)
@@ -173,7 +205,7 @@
     // Wakes the cell when it asks for it
     void arm_timer()
     {
-        auto const wakeup = cell_.next_wakeup();
+        auto const wakeup = cell_->next_wakeup();
         if (wakeup == armed_)
             return;
         armed_ = wakeup;
@@ -202,8 +234,10 @@
     cell_orders orders_;
     // Requests that wait for an answer
     std::unordered_map<request_id, grant_callback> waiting_;
-    // The decisions
-    Cell cell_;
+    // Endpoints as they last reported
+    std::unordered_map<endpoint_id, endpoint_report> endpoints_;
+    // The decisions; never empty
+    std::optional<Cell> cell_;
 };
 
 } // namespace marjorampath::serving
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -35,19 +35,10 @@
       monitor_(control_,
                endpoint_monitor_options{.region = settings_.region,
                                         .interval = settings_.load_interval},
-               endpoint_monitor_events{
-                   .on_report =
-                       [this](endpoint_report const& report)
-                   {
-                       cell_.feed([&](auto& cell, time_point now, cell_actions& out)
-                                  { cell.on_endpoint(report, now, out); });
-                   },
-                   .on_gone =
-                       [this](endpoint_id endpoint)
-                   {
-                       cell_.feed([&](auto& cell, time_point now, cell_actions& out)
-                                  { cell.on_endpoint_gone(endpoint, now, out); });
-                   }}),
+               endpoint_monitor_events{.on_report = [this](endpoint_report const& report)
+                                       { cell_.on_endpoint(report); },
+                                       .on_gone = [this](endpoint_id endpoint)
+                                       { cell_.on_endpoint_gone(endpoint); }}),
       cell_(control_,
             cell_orders{.load =
                             [this](load_action const& action, order_callback done) {
@@ -60,13 +51,68 @@
                                       action.adapter, std::move(done));
                             }},
             settings_.policy),
-      grants_(cell_.as_service())
+      local_grants_(cell_.as_service()), grants_(local_grants_)
 {
+    make_fleet();
     make_workers();
 }
 
 node::~node() = default;
 
+void node::make_fleet()
+{
+    if (!settings_.fleet.address)
+        return;
+
+    using cell_type = marjorampath::cell;
+    auto const feed = [this](auto event) { cell_.feed(std::move(event)); };
+    fleet_events events{
+        .on_orders =
+            [feed](bool allowed)
+        {
+            feed([allowed](cell_type& cell, time_point now, cell_actions& out)
+                 { cell.on_orders_allowed(allowed, now, out); });
+        },
+        .on_eviction =
+            [feed](bool allowed)
+        {
+            feed([allowed](cell_type& cell, time_point now, cell_actions& out)
+                 { cell.allow_eviction(allowed, now, out); });
+        },
+        .on_registered =
+            [feed](grant_registration const& held)
+        {
+            feed([&held](cell_type& cell, time_point now, cell_actions& out)
+                 { cell.on_registered(held, now, out); });
+        },
+        .on_entry_host_lost =
+            [feed](host_id host)
+        {
+            feed([host](cell_type& cell, time_point now, cell_actions& out)
+                 { cell.on_entry_host_lost(host, now, out); });
+        },
+        .on_deposed =
+            [this, feed]
+        {
+            cell_.reset(settings_.policy);
+            feed([](cell_type& cell, time_point now, cell_actions& out)
+                 { cell.on_orders_allowed(false, now, out); });
+        }};
+    fleet_settings const own{.host = settings_.host,
+                             .zone = settings_.zone,
+                             .region = settings_.region,
+                             .address = *settings_.fleet.address,
+                             .zones = settings_.fleet.zones,
+                             .witnesses_per_zone = settings_.fleet.witnesses_per_zone,
+                             .longest_deadline =
+                                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                                     settings_.limits.max_deadline),
+                             .tls = settings_.fleet.tls};
+    fleet_ = std::make_unique<fleet>(control_, own, local_grants_, std::move(events));
+    grants_ = fleet_->as_service();
+    fencing_source_ = fleet_->as_fencing_source();
+}
+
 void node::make_workers()
 {
     auto const host = host_id::of(settings_.host);
@@ -96,7 +142,15 @@
         // A chosen port holds for all threads
         address = worker->address();
     }
-    return {};
+    return fleet_ ? boost::system::error_code(fleet_->open())
+                  : boost::system::error_code();
+}
+
+std::optional<asio::ip::tcp::endpoint> node::peers() const
+{
+    if (!fleet_)
+        return std::nullopt;
+    return fleet_->address();
 }
 
 asio::ip::tcp::endpoint node::callers() const
@@ -169,6 +223,8 @@
 
 void node::publish()
 {
+    if (fleet_)
+        fleet_->update(hosts_);
     if (sheets_.current())
         monitor_.update(hosts_, *sheets_.current());
     routing_view const view{.sheet_in_force = sheets_.current(),
@@ -216,6 +272,9 @@
 
 void node::stop_callers()
 {
+    // The next owner takes over while this host's streams run on
+    if (fleet_)
+        fleet_->leave();
     workers_busy_ = workers_.size();
     for (auto const& worker : workers_)
         worker->stop_callers([this] { on_worker_drained(); });
@@ -235,6 +294,8 @@
     host_list_.close();
     host_list_pause_.cancel();
     monitor_.stop();
+    if (fleet_)
+        fleet_->close();
     control_.stop();
 }
 
--- a/serving/node/node.hpp
+++ b/serving/node/node.hpp
@@ -2,6 +2,7 @@
 
 #include <marjorampath/cell/cell.hpp>
 #include <serving/engine/engine_orders.hpp>
+#include <serving/fleet/fleet.hpp>
 #include <serving/host_list/host_list_client.hpp>
 #include <serving/node/cell_host.hpp>
 #include <serving/node/endpoint_monitor.hpp>
@@ -15,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace marjorampath::serving
@@ -37,6 +39,9 @@
     /// The address that callers connect to.
     [[nodiscard]] boost::asio::ip::tcp::endpoint callers() const;
 
+    /// The address that other hosts connect to, or nothing where the node runs alone.
+    [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> peers() const;
+
     /// Runs the control thread's event loop here until the node was shut down.
     void run();
 
@@ -45,6 +50,9 @@
     void shut_down();
 
 private:
+    // Joins the fleet, where the settings say so
+    void make_fleet();
+
     // Makes the traffic threads
     void make_workers();
 
@@ -102,6 +110,10 @@
     endpoint_monitor monitor_;
     // The cell that this host owns
     cell_host<cell> cell_;
+    // The cell as a grant service
+    grant_service local_grants_;
+    // Part in the fleet; null for a node that runs alone
+    std::unique_ptr<fleet> fleet_;
     // Who answers grant requests
     grant_service grants_;
     // Traffic threads
--- a/serving/settings/node_settings.hpp
+++ b/serving/settings/node_settings.hpp
@@ -2,17 +2,37 @@
 
 #include <marjorampath/cell/cell_options.hpp>
 #include <serving/endpoint/connection_pool.hpp>
+#include <serving/link/tls_context.hpp>
 #include <serving/node/traffic_context.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace marjorampath::serving
 {
 
+/// The settings of a node's part in the fleet.
+struct node_fleet_settings
+{
+    /// Where other hosts connect; nothing for a node that runs alone.
+    std::optional<boost::asio::ip::tcp::endpoint> address;
+    /// Zones of the region; equal on all hosts.
+    std::vector<std::string> zones;
+    /// Witnesses of leases in each zone; equal on all hosts.
+    std::uint32_t witnesses_per_zone = 1;
+    /// Files of mutual TLS between hosts; empty names for a closed network.
+    tls_files files;
+    /// Made of the files when the settings are checked; null without TLS.
+    std::shared_ptr<boost::asio::ssl::context> tls;
+};
+
 /// The settings of one node, as its YAML file has them.
 struct node_settings
 {
@@ -44,6 +64,8 @@
     connection_pool_options connections;
     /// Policy of the cells.
     cell_options policy;
+    /// Part in the fleet.
+    node_fleet_settings fleet;
 };
 
 } // namespace marjorampath::serving
--- a/serving/settings/settings_field.cpp
+++ b/serving/settings/settings_field.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <concepts>
 #include <optional>
+#include <sstream>
 #include <vector>
 
 namespace marjorampath::serving
@@ -248,6 +249,83 @@
     };
 }
 
+// A file name; `select` gives its place in the settings
+template <class Select>
+settings_field file_field(std::string_view name, std::string_view text, Select select)
+{
+    return {.name = name,
+            .text = text,
+            .take =
+                [select](std::string const& value, node_settings& settings)
+            {
+                select(settings) = value;
+                return std::string();
+            },
+            .show =
+                [select](node_settings const& settings)
+            {
+                auto copy = settings;
+                return select(copy);
+            }};
+}
+
+settings_field fleet_address_field()
+{
+    return {.name = "fleet.address",
+            .text = "Address that other hosts connect to; a node without runs alone.",
+            .take = [](std::string const& value, node_settings& settings) -> std::string
+            {
+                settings.fleet.address = read_address(value);
+                if (!settings.fleet.address)
+                    return fmt::format("`{}` is not IP:PORT", value);
+                return {};
+            },
+            .show = [](node_settings const& settings) -> std::string
+            {
+                auto const& address = settings.fleet.address;
+                return address ? fmt::format("{}:{}", address->address().to_string(),
+                                             address->port())
+                               : std::string();
+            }};
+}
+
+settings_field zones_field()
+{
+    return {.name = "fleet.zones",
+            .text = "Zones of the region, separated by commas; equal on all hosts.",
+            .take = [](std::string const& value, node_settings& settings) -> std::string
+            {
+                settings.fleet.zones.clear();
+                std::istringstream names(value);
+                for (std::string name; std::getline(names, name, ',');)
+                    settings.fleet.zones.push_back(name);
+                return settings.fleet.zones.empty() ? "names no zone" : "";
+            },
+            .show = [](node_settings const& settings)
+            { return fmt::format("{}", fmt::join(settings.fleet.zones, ",")); }};
+}
+
+std::vector<settings_field> fleet_fields()
+{
+    using node = node_settings;
+    return {
+        fleet_address_field(),
+        zones_field(),
+        number_field<std::uint32_t>(
+            "fleet.witnesses_per_zone", "Witnesses of leases in each zone.", 1, 8,
+            [](node & s) -> auto& { return s.fleet.witnesses_per_zone; }),
+        file_field(
+            "fleet.certificate", "PEM file of this host's certificate; none for no TLS.",
+            [](node & s) -> auto& { return s.fleet.files.certificate; }),
+        file_field(
+            "fleet.key", "PEM file of this host's private key.",
+            [](node & s) -> auto& { return s.fleet.files.key; }),
+        file_field(
+            "fleet.authority", "PEM file of the authority of the hosts' certificates.",
+            [](node & s) -> auto& { return s.fleet.files.authority; }),
+    };
+}
+
 std::vector<settings_field> make_fields()
 {
     auto fields = host_fields();
@@ -255,6 +333,8 @@
         fields.push_back(std::move(field));
     for (auto& field : policy_fields())
         fields.push_back(std::move(field));
+    for (auto& field : fleet_fields())
+        fields.push_back(std::move(field));
     return fields;
 }
 
--- a/serving/settings/settings_file.cpp
+++ b/serving/settings/settings_file.cpp
@@ -40,6 +40,7 @@
             return reject(error.mark.line + 1, "", error.msg);
         }
         require_all();
+        check_fleet();
     }
 
     settings_or_problems result()
@@ -128,6 +129,23 @@
                 reject(0, std::string(field.name), "is missing");
     }
 
+    // What joins hosts is told whole or not at all
+    void check_fleet()
+    {
+        auto& fleet = settings_.fleet;
+        if (!fleet.address)
+            return;
+        if (std::find(fleet.zones.begin(), fleet.zones.end(), settings_.zone) ==
+            fleet.zones.end())
+            reject(0, "fleet.zones", "does not name the zone of this host");
+        if (fleet.files.certificate.empty())
+            return;
+        std::error_code error;
+        fleet.tls = make_mutual_tls(fleet.files, error);
+        if (error)
+            reject(0, "fleet.certificate", error.message());
+    }
+
     // Name of the file
     std::string file_;
     // Settings read so far
