--- a/serving/caller/exchange_control.cpp
+++ b/serving/caller/exchange_control.cpp
@@ -6,11 +6,10 @@
 namespace marjorampath::serving
 {
 
-exchange_control::exchange_control(boost::asio::any_io_executor executor,
+exchange_control::exchange_control(boost::asio::any_io_executor const& executor,
                                    grant_client& grants,
                                    std::function<void()> unblock_caller)
-    : grants_(&grants), unblock_caller_(std::move(unblock_caller)),
-      timer_(std::move(executor))
+    : grants_(&grants), unblock_caller_(std::move(unblock_caller)), timer_(executor)
 {
 }
 
--- a/serving/caller/exchange_control.hpp
+++ b/serving/caller/exchange_control.hpp
@@ -22,7 +22,7 @@
 public:
     /// Makes the control of one exchange. `unblock_caller` ends a write to the caller
     /// that is under way.
-    exchange_control(boost::asio::any_io_executor executor, grant_client& grants,
+    exchange_control(boost::asio::any_io_executor const& executor, grant_client& grants,
                      std::function<void()> unblock_caller);
 
     /// Ends the exchange when the time is over.
--- a/serving/engine/model_exchange.cpp
+++ b/serving/engine/model_exchange.cpp
@@ -164,7 +164,7 @@
         .sheet_number = sheet_->number(),
     };
     control_->set_waiting(attempt_);
-    auto const reply = co_await context_->grants.request(std::move(question));
+    auto const reply = co_await context_->grants.request(question);
     control_->set_waiting({});
 
     if (auto const* refusal = std::get_if<refuse_action>(&reply))
--- a/serving/node/cell_host.hpp
+++ b/serving/node/cell_host.hpp
@@ -81,7 +81,7 @@
         cell_actions actions;
         std::forward<Event>(event)(cell_, boot_now(), actions);
         for (auto const& action : actions)
-            std::visit([this](auto const& each) { carry_out(each); }, action);
+            std::visit([this](auto const& each) { this->carry_out(each); }, action);
         arm_timer();
     }
 
--- a/serving/node/grant_client.cpp
+++ b/serving/node/grant_client.cpp
@@ -25,32 +25,67 @@
     auto initiate = [this](auto&& handler, grant_request const& asked)
     {
         using handler_type = std::decay_t<decltype(handler)>;
-        auto shared = std::make_shared<handler_type>(std::move(handler));
-        send(asked,
-             [shared](grant_reply reply) { std::move (*shared)(std::move(reply)); });
+        auto shared =
+            std::make_shared<handler_type>(std::forward<decltype(handler)>(handler));
+        waiters_.emplace(asked.request, [shared](grant_reply const& reply)
+                         { std::move (*shared)(reply); });
+        send(asked);
     };
     auto operation =
         asio::async_initiate<asio::use_awaitable_t<> const, void(grant_reply)>(
-            initiate, asio::use_awaitable, std::move(question));
+            initiate, asio::use_awaitable, question);
     co_return co_await std::move(operation);
 }
 
-void grant_client::send(grant_request const& question,
-                        std::function<void(grant_reply)> waiter)
+void grant_client::send(message const& sent)
 {
-    waiters_.emplace(question.request, std::move(waiter));
-    asio::post(
-        *control_,
-        [this, question]
-        {
-            auto answer = [this, request = question.request](grant_reply const& reply)
-            { asio::post(*traffic_, [this, request, reply] { take(request, reply); }); };
-            service_->request(question, answer);
-        });
+    outbox_.push_back(sent);
+    if (outbox_.size() == 1)
+        asio::post(*traffic_, [this] { flush(); });
 }
 
-void grant_client::take(request_id request, grant_reply const& reply)
+void grant_client::flush()
 {
+    asio::post(*control_,
+               [this, messages = std::exchange(outbox_, {})]
+               {
+                   for (auto const& each : messages)
+                       deliver(each);
+               });
+}
+
+void grant_client::deliver(message const& sent)
+{
+    if (auto const* report = std::get_if<release_report>(&sent))
+        return service_->release(*report);
+    if (auto const* withdrawn = std::get_if<request_id>(&sent))
+        return service_->withdraw(*withdrawn);
+    auto const& question = std::get<grant_request>(sent);
+    service_->request(question,
+                      [this, request = question.request](grant_reply const& reply)
+                      { collect({.request = request, .reply = reply}); });
+}
+
+void grant_client::collect(answered const& reply)
+{
+    answers_.push_back(reply);
+    if (answers_.size() > 1)
+        return;
+    asio::post(*control_,
+               [this]
+               {
+                   asio::post(*traffic_,
+                              [this, answers = std::exchange(answers_, {})]
+                              {
+                                  for (auto const& each : answers)
+                                      take(each);
+                              });
+               });
+}
+
+void grant_client::take(answered const& answer)
+{
+    auto const& [request, reply] = answer;
     auto const found = waiters_.find(request);
     if (found != waiters_.end())
     {
@@ -74,7 +109,7 @@
         return;
     auto const waiter = std::move(found->second);
     waiters_.erase(found);
-    asio::post(*control_, [this, request] { service_->withdraw(request); });
+    send(request);
 
     refuse_action const refusal{
         .request = request, .entry = {}, .reason = error_kind::caller_gone};
@@ -83,7 +118,7 @@
 
 void grant_client::release(release_report const& report)
 {
-    asio::post(*control_, [this, report] { service_->release(report); });
+    send(report);
 }
 
 } // namespace marjorampath::serving
--- a/serving/node/grant_client.hpp
+++ b/serving/node/grant_client.hpp
@@ -10,12 +10,15 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <variant>
+#include <vector>
 
 namespace marjorampath::serving
 {
 
 /// The side of a traffic thread: passes its grant requests to the control thread and the
-/// answers back. Used on that traffic thread only.
+/// answers back. Messages that come up in one turn of a loop cross together, so that a
+/// busy thread wakes the other one less often. Used on that traffic thread only.
 class grant_client
 {
 public:
@@ -35,11 +38,32 @@
     void release(release_report const& report);
 
 private:
-    // Sends a request to the control thread
-    void send(grant_request const& question, std::function<void(grant_reply)> waiter);
+    // What is sent to the control thread
+    using message = std::variant<grant_request, release_report, request_id>;
 
-    // Takes an answer from the control thread
-    void take(request_id request, grant_reply const& reply);
+    // An answer on its way to this thread
+    struct answered
+    {
+        // The request
+        request_id request;
+        // Its answer
+        grant_reply reply;
+    };
+
+    // Sends a message to the control thread at the end of this turn
+    void send(message const& sent);
+
+    // Sends the messages of this turn
+    void flush();
+
+    // Hands a message to the service; on the control thread
+    void deliver(message const& sent);
+
+    // Collects an answer; on the control thread
+    void collect(answered const& reply);
+
+    // Takes an answer on this thread
+    void take(answered const& answer);
 
     // This thread
     boost::asio::io_context* traffic_;
@@ -47,8 +71,12 @@
     boost::asio::io_context* control_;
     // Service of the control thread
     grant_service const* service_;
+    // Messages of this turn
+    std::vector<message> outbox_;
+    // Answers of the control thread's turn; used on the control thread only
+    std::vector<answered> answers_;
     // Coroutines that wait for an answer
-    std::unordered_map<request_id, std::function<void(grant_reply)>> waiters_;
+    std::unordered_map<request_id, std::function<void(grant_reply const&)>> waiters_;
 };
 
 } // namespace marjorampath::serving
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -28,7 +28,7 @@
           sheet_source::options{.server = {.server = settings_.configuration_service},
                                 .delays = {}},
           sheets_,
-          [this](std::shared_ptr<sheet const> taken) { take_sheet(std::move(taken)); },
+          [this](std::shared_ptr<sheet const> const& taken) { take_sheet(taken); },
           &node::log_sheet_failure),
       host_list_(control_.get_executor(),
                  http_reader::options{.server = settings_.host_list}),
@@ -152,7 +152,7 @@
     }
 }
 
-void node::take_sheet(std::shared_ptr<sheet const> taken)
+void node::take_sheet(std::shared_ptr<sheet const> const& taken)
 {
     log_event(event::sheet_accepted, "number", taken->number(), "adapters",
               taken->tables().adapters.size());
--- a/serving/node/node.hpp
+++ b/serving/node/node.hpp
@@ -55,7 +55,7 @@
     boost::asio::awaitable<void> read_host_list();
 
     // Takes a sheet into force
-    void take_sheet(std::shared_ptr<sheet const> taken);
+    void take_sheet(std::shared_ptr<sheet const> const& taken);
 
     // Logs why a sheet was not taken
     static void log_sheet_failure(sheet_source::failure const& failure);
