--- a/programs/marjorampath-bench/main.cpp
+++ b/programs/marjorampath-bench/main.cpp
@@ -16,6 +16,7 @@
                marjorampath::bench::run_policy},
     subcommand{"slopes", "what one unit of each thing costs, for docs/slopes.yaml",
                marjorampath::bench::run_slopes},
+    subcommand{"path", "load on the request path", marjorampath::bench::run_path},
 };
 
 int print_usage()
--- a/programs/marjorampath-bench/subcommand.hpp
+++ b/programs/marjorampath-bench/subcommand.hpp
@@ -25,4 +25,7 @@
 /// What one adapter, engine, host, key and message cost, as lines of docs/slopes.yaml.
 int run_slopes(std::vector<std::string>& arguments);
 
+/// Load on the request path of a node or an engine.
+int run_path(std::vector<std::string>& arguments);
+
 } // namespace marjorampath::bench
--- a/programs/marjorampath-standin/engine.cpp
+++ b/programs/marjorampath-standin/engine.cpp
@@ -253,11 +253,12 @@
     bool const cut = cut_streams_ > 0;
     if (cut)
         --cut_streams_;
+    // A token may be generated while the head is written
+    std::uint32_t written = running->produced;
+    std::uint32_t const cut_at = written + cut_after_;
     if (!co_await exchange.start_events())
         co_return;
 
-    std::uint32_t written = running->produced;
-    std::uint32_t const cut_at = written + cut_after_;
     boost::system::error_code ignored;
     while (written < running->total)
     {
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,127 @@
+#include <serving/host_list/host_entry.hpp>
+#include <tests/process/child_process.hpp>
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <poll.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace marjorampath::test
+{
+
+namespace
+{
+
+// Time for a program to print its address
+constexpr int start_timeout_ms = 10'000;
+
+} // namespace
+
+void wait_a_little()
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+}
+
+child_process::child_process(std::string const& program,
+                             std::vector<std::string> arguments, std::string const& log)
+{
+    auto const folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    arguments.insert(arguments.begin(), (folder / program).string());
+    std::vector<char*> pointers;
+    for (auto& argument : arguments)
+        pointers.push_back(argument.data());
+    pointers.push_back(nullptr);
+
+    // Standard output comes through a pipe, standard error goes to the log
+    int pipe[2] = {-1, -1};
+    if (::pipe2(pipe, O_CLOEXEC) != 0)
+        throw std::runtime_error("no pipe");
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    ::posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
+    ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
+    int const error =
+        ::posix_spawn(&pid_, pointers[0], &actions, nullptr, pointers.data(), environ);
+    ::posix_spawn_file_actions_destroy(&actions);
+    ::close(pipe[1]);
+
+    auto const line = error == 0 ? read_line(pipe[0]) : std::string();
+    ::close(pipe[0]);
+    auto const address = serving::parse_address(line.substr(line.rfind(' ') + 1));
+    if (!address)
+    {
+        if (error == 0)
+            signal(SIGKILL);
+        wait(std::chrono::seconds(5));
+        throw std::runtime_error(
+            fmt::format("{} printed no address but `{}`; log {}", program, line, log));
+    }
+    address_ = *address;
+}
+
+child_process::~child_process()
+{
+    if (pid_ == 0)
+        return;
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+}
+
+std::string child_process::address_text() const
+{
+    return fmt::format("{}:{}", address_.address().to_string(), address_.port());
+}
+
+std::string child_process::read_line(int pipe) const
+{
+    std::string line;
+    pollfd ready{.fd = pipe, .events = POLLIN, .revents = 0};
+    while (::poll(&ready, 1, start_timeout_ms) == 1)
+    {
+        char letter = 0;
+        if (::read(pipe, &letter, 1) != 1 || letter == '\n')
+            break;
+        line += letter;
+    }
+    return line;
+}
+
+void child_process::signal(int number) const
+{
+    if (pid_ != 0)
+        ::kill(pid_, number);
+}
+
+std::optional<int> child_process::wait(std::chrono::milliseconds time)
+{
+    int status = 0;
+    bool const ended =
+        pid_ != 0 &&
+        eventually([&] { return ::waitpid(pid_, &status, WNOHANG) == pid_; }, time);
+    if (!ended)
+        return std::nullopt;
+    pid_ = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::size_t child_process::resident_bytes() const
+{
+    std::ifstream file(fmt::format("/proc/{}/statm", pid_));
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+} // namespace marjorampath::test
--- /dev/null
+++ b/tests/process/child_process.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace marjorampath::test
+{
+
+/// One of our programs, started from the folder of this test's own executable. Killed by
+/// its process number when the object goes.
+class child_process
+{
+public:
+    /// Starts a program and waits for the line that ends in its address; its standard
+    /// error goes to `log`. Throws std::runtime_error where none comes in time.
+    child_process(std::string const& program, std::vector<std::string> arguments,
+                  std::string const& log);
+
+    /// Kills the process.
+    ~child_process();
+
+    child_process(child_process const&) = delete;
+    child_process& operator=(child_process const&) = delete;
+
+    /// Where the program listens.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint address() const noexcept
+    {
+        return address_;
+    }
+
+    /// The address as `IP:PORT`.
+    [[nodiscard]] std::string address_text() const;
+
+    /// Sends a signal.
+    void signal(int number) const;
+
+    /// Waits for the end; the exit status, -1 after a signal, or nothing in time.
+    std::optional<int> wait(std::chrono::milliseconds time);
+
+    /// Resident memory, in bytes.
+    [[nodiscard]] std::size_t resident_bytes() const;
+
+private:
+    // Reads the first line of standard output
+    std::string read_line(int pipe) const;
+
+    // Process number; zero once it has ended
+    pid_t pid_ = 0;
+    // Where it listens
+    boost::asio::ip::tcp::endpoint address_;
+};
+
+/// Looks at a condition until it holds; whether it did in time.
+template <typename Condition>
+bool eventually(Condition condition,
+                std::chrono::milliseconds time = std::chrono::milliseconds(10'000));
+
+/// A short wait between two looks at a condition.
+void wait_a_little();
+
+template <typename Condition>
+bool eventually(Condition condition, std::chrono::milliseconds time)
+{
+    auto const until = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (condition())
+            return true;
+        wait_a_little();
+    }
+    return condition();
+}
+
+} // namespace marjorampath::test
