--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -14,8 +14,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace marjorampath::test
 {
 
