--- a/programs/marjorampath-bench/main.cpp
+++ b/programs/marjorampath-bench/main.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr std::array subcommands{
+    subcommand{"link", "calls between nodes, by RPC and by plain messages",
+               marjorampath::bench::run_link},
     subcommand{"policy", "the placement and load policy in virtual time",
                marjorampath::bench::run_policy},
     subcommand{"slopes", "what one unit of each thing costs, for docs/slopes.yaml",
--- a/programs/marjorampath-bench/subcommand.hpp
+++ b/programs/marjorampath-bench/subcommand.hpp
@@ -19,6 +19,9 @@
     int (*run)(std::vector<std::string>& arguments);
 };
 
+/// Calls between nodes: Cap'n Proto RPC beside plain messages.
+int run_link(std::vector<std::string>& arguments);
+
 /// The placement and load policy in virtual time, beside baselines.
 int run_policy(std::vector<std::string>& arguments);
 
