Unload versions of earlier sheets, and register every field of a grant

Cause: an order named its adapter by the sheet in force, so a version that a new sheet no longer names could not be unloaded and kept its slot; process test slots_go_to_the_versions_of_the_new_sheet found no answer within 10 s. The registration of a running grant lost its endpoint kind, team and isolation between hosts, and a grant request its isolation and attempt.

Change: the endpoint monitor keeps the names that engines report, and an order takes its name from there where the sheet does not have it; the schema and codec carry the fields.

--- a/schema/node.capnp
+++ b/schema/node.capnp
@@ -168,6 +168,8 @@
   promptTokens @13 :UInt32;
   maxTokens @14 :UInt32;
   sheetNumber @15 :UInt64;
+  isolated @16 :Bool;
+  attempt @17 :UInt32;
 }
 
 struct GrantReply {
@@ -213,6 +215,9 @@
   adapter @2 :UInt64;
   fingerprint @3 :UInt64;
   remaining @4 :Int64;
+  kind @5 :UInt64;
+  team @6 :UInt64;
+  isolated @7 :Bool;
 }
 
 struct GrantList {
--- a/schema/node.capnp.h
+++ b/schema/node.capnp.h
@@ -912,7 +912,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db3201c65313d4db, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(db3201c65313d4db, 8, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -5102,6 +5102,10 @@
 
   inline  ::uint64_t getSheetNumber() const;
 
+  inline bool getIsolated() const;
+
+  inline  ::uint32_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5178,6 +5182,12 @@
   inline  ::uint64_t getSheetNumber();
   inline void setSheetNumber( ::uint64_t value);
 
+  inline bool getIsolated();
+  inline void setIsolated(bool value);
+
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5603,6 +5613,12 @@
 
   inline  ::int64_t getRemaining() const;
 
+  inline  ::uint64_t getKind() const;
+
+  inline  ::uint64_t getTeam() const;
+
+  inline bool getIsolated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5646,6 +5662,15 @@
   inline  ::int64_t getRemaining();
   inline void setRemaining( ::int64_t value);
 
+  inline  ::uint64_t getKind();
+  inline void setKind( ::uint64_t value);
+
+  inline  ::uint64_t getTeam();
+  inline void setTeam( ::uint64_t value);
+
+  inline bool getIsolated();
+  inline void setIsolated(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9885,6 +9910,34 @@
       ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GrantRequest::Reader::getIsolated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<641>() * ::capnp::ELEMENTS);
+}
+
+inline bool GrantRequest::Builder::getIsolated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<641>() * ::capnp::ELEMENTS);
+}
+inline void GrantRequest::Builder::setIsolated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<641>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t GrantRequest::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GrantRequest::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+}
+inline void GrantRequest::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::marjorampath::schema::GrantReply::Which GrantReply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<12>() * ::capnp::ELEMENTS);
@@ -10227,6 +10280,48 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HeldGrant::Reader::getKind() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldGrant::Builder::getKind() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void HeldGrant::Builder::setKind( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeldGrant::Reader::getTeam() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldGrant::Builder::getTeam() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void HeldGrant::Builder::setTeam( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldGrant::Reader::getIsolated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeldGrant::Builder::getIsolated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+}
+inline void HeldGrant::Builder::setIsolated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t GrantList::Reader::getEntry() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/engine/load_report.cpp
+++ b/serving/engine/load_report.cpp
@@ -30,8 +30,8 @@
 
 } // namespace
 
-std::optional<endpoint_report> read_load_report(std::string_view document,
-                                                endpoint_report const& listed)
+std::optional<load_report> read_load_report(std::string_view document,
+                                            endpoint_report const& listed)
 {
     boost::system::error_code error;
     auto const value =
@@ -40,7 +40,8 @@
     if (!object)
         return std::nullopt;
 
-    endpoint_report report = listed;
+    load_report result{.endpoint = listed, .resident_names = {}};
+    auto& report = result.endpoint;
     report.reachable = true;
     if (!read_number(*object, "boot", report.boot_number) ||
         !read_number(*object, "slots", report.adapter_slots) ||
@@ -60,9 +61,10 @@
         if (!adapter.is_string())
             return std::nullopt;
         auto const& name = adapter.get_string();
-        report.resident.push_back(adapter_version_id::of({name.data(), name.size()}));
+        result.resident_names.emplace_back(name.data(), name.size());
+        report.resident.push_back(adapter_version_id::of(result.resident_names.back()));
     }
-    return report;
+    return result;
 }
 
 } // namespace marjorampath::serving
--- a/serving/link/grant_codec.cpp
+++ b/serving/link/grant_codec.cpp
@@ -67,6 +67,8 @@
     wire.setPromptTokens(question.prompt_tokens);
     wire.setMaxTokens(question.max_tokens);
     wire.setSheetNumber(question.sheet_number);
+    wire.setIsolated(question.isolated);
+    wire.setAttempt(question.attempt);
 }
 
 void decode(GrantRequest::Reader wire, serving::cell_grant_request& value)
@@ -88,6 +90,8 @@
     question.prompt_tokens = wire.getPromptTokens();
     question.max_tokens = wire.getMaxTokens();
     question.sheet_number = wire.getSheetNumber();
+    question.isolated = wire.getIsolated();
+    question.attempt = wire.getAttempt();
 }
 
 void encode(serving::cell_grant_reply const& value, GrantReply::Builder wire)
@@ -172,6 +176,9 @@
     wire.setAdapter(value.adapter.number());
     wire.setFingerprint(value.fingerprint.number());
     wire.setRemaining(encode_duration(value.remaining));
+    wire.setKind(value.kind.number());
+    wire.setTeam(value.team.number());
+    wire.setIsolated(value.isolated);
 }
 
 void decode(HeldGrant::Reader wire, held_grant& value)
@@ -181,6 +188,9 @@
     decode(wire.getAdapter(), value.adapter);
     decode(wire.getFingerprint(), value.fingerprint);
     value.remaining = decode_duration(wire.getRemaining());
+    decode(wire.getKind(), value.kind);
+    decode(wire.getTeam(), value.team);
+    value.isolated = wire.getIsolated();
 }
 
 void encode(grant_list const& value, GrantList::Builder wire)
--- a/serving/node/endpoint_monitor.cpp
+++ b/serving/node/endpoint_monitor.cpp
@@ -114,12 +114,15 @@
             co_await reader->get("/load", std::chrono::milliseconds::zero());
         if (engine->stopped)
             break;
-        auto const report =
+        auto report =
             answer.error ? std::nullopt : read_load_report(answer.body, engine->listed);
 
         // A loss is told once; the cell keeps what it knows of the engine
         if (report)
-            events_.on_report(*report);
+        {
+            engine->resident_names = std::move(report->resident_names);
+            events_.on_report(report->endpoint);
+        }
         else if (!engine->lost)
             events_.on_report(engine->listed);
         engine->lost = !report;
@@ -129,6 +132,18 @@
     }
 }
 
+std::optional<std::string>
+endpoint_monitor::resident_name(endpoint_id engine, adapter_version_id version) const
+{
+    auto const found = watched_.find(engine);
+    if (found == watched_.end())
+        return std::nullopt;
+    for (auto const& name : found->second->resident_names)
+        if (adapter_version_id::of(name) == version)
+            return name;
+    return std::nullopt;
+}
+
 void endpoint_monitor::stop()
 {
     for (auto const& [id, each] : watched_)
--- a/serving/node/endpoint_monitor.hpp
+++ b/serving/node/endpoint_monitor.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,11 @@
         return endpoints_;
     }
 
+    /// The name `ADAPTER@VERSION` by which an engine last reported a version that it
+    /// holds, or nothing. Knows versions that the sheet in force does not name.
+    [[nodiscard]] std::optional<std::string>
+    resident_name(endpoint_id engine, adapter_version_id version) const;
+
     /// Stops reading.
     void stop();
 
@@ -68,6 +74,8 @@
         endpoint_report listed;
         // Reads its load; null for plain services
         std::shared_ptr<http_reader> reader;
+        // Names of the adapter versions that it held when it last reported
+        std::vector<std::string> resident_names;
         // Whether it is listed still
         bool stopped = false;
         // Whether the last read failed
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -234,21 +234,31 @@
         worker->set_view(view);
 }
 
+std::optional<std::string> node::name_of(endpoint_id endpoint,
+                                         adapter_version_id adapter) const
+{
+    auto const* version =
+        sheets_.current() ? sheets_.current()->find_version(adapter) : nullptr;
+    if (version)
+        return version->qualified_name();
+
+    // A version of an earlier sheet is known by what the engine calls it
+    return monitor_.resident_name(endpoint, adapter);
+}
+
 void node::order(adapter_order kind, endpoint_id endpoint, adapter_version_id adapter,
                  order_callback done)
 {
     auto const& endpoints = *monitor_.endpoints();
     auto const found = endpoints.find(endpoint);
-    auto const* version =
-        sheets_.current() ? sheets_.current()->find_version(adapter) : nullptr;
-    if (found == endpoints.end() || !version)
+    auto const name = name_of(endpoint, adapter);
+    if (found == endpoints.end() || !name)
     {
         asio::post(control_, [done] { done(error_kind::load_failed); });
         return;
     }
-    engine_order ordered{.endpoint = found->second,
-                         .kind = kind,
-                         .qualified_adapter = version->qualified_name()};
+    engine_order ordered{
+        .endpoint = found->second, .kind = kind, .qualified_adapter = *name};
     engine_order_options options{.adapter_path = settings_.adapter_path};
     asio::co_spawn(
         control_, give_order(std::move(ordered), std::move(options), fencing_source_),
--- a/serving/node/node.hpp
+++ b/serving/node/node.hpp
@@ -17,6 +17,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace marjorampath::serving
@@ -80,6 +81,10 @@
     // Ends everything
     void finish();
 
+    // The name `ADAPTER@VERSION` of an adapter version, or nothing where it is not known
+    [[nodiscard]] std::optional<std::string> name_of(endpoint_id endpoint,
+                                                     adapter_version_id adapter) const;
+
     // Gives one order of the cell
     void order(adapter_order kind, endpoint_id endpoint, adapter_version_id adapter,
                order_callback done);
--- a/tests/unit/engine/engine_dialect_test.cpp
+++ b/tests/unit/engine/engine_dialect_test.cpp
@@ -78,10 +78,10 @@
         R"({"boot":3,"slots":4,"concurrency":8,"adapters":["a@1"],"draining":true})",
         listed);
     BOOST_REQUIRE(report);
-    BOOST_TEST(report->boot_number == 3u);
-    BOOST_TEST(report->adapter_slots == 4u);
-    BOOST_TEST(report->leaving);
-    BOOST_TEST((report->resident ==
+    BOOST_TEST(report->endpoint.boot_number == 3u);
+    BOOST_TEST(report->endpoint.adapter_slots == 4u);
+    BOOST_TEST(report->endpoint.leaving);
+    BOOST_TEST((report->endpoint.resident ==
                 std::vector<adapter_version_id>{adapter_version_id::of("a@1")}));
     for (auto const* text : {"", "[]", R"({"boot":1})", R"({"adapters":[1]})",
                              R"({"boot":-1,"adapters":[]})"})
--- a/tests/unit/link/codec_test.cpp
+++ b/tests/unit/link/codec_test.cpp
@@ -165,13 +165,13 @@
         cell_release{resource_id(1),
                      {request_id(2), endpoint_id(3), release_reason::endpoint_lost, 4}});
     check<schema::GrantRecall>(grant_recall{resource_id(1), host_id(2), 3});
-    check<schema::GrantList>(
-        grant_list{host_id(1),
-                   2,
-                   resource_id(3),
-                   4,
-                   {{request_id(5), endpoint_id(6), adapter_version_id(7),
-                     fingerprint_id(8), duration(9)}}});
+    check<schema::GrantList>(grant_list{
+        host_id(1),
+        2,
+        resource_id(3),
+        4,
+        {{request_id(5), endpoint_id(6), endpoint_kind_id(7), adapter_version_id(8),
+          team_id(9), fingerprint_id(10), true, duration(11)}}});
 }
 
 BOOST_AUTO_TEST_CASE(a_grant_request_keeps_all_fields_and_the_time_left)
@@ -189,6 +189,8 @@
                        .prefix = 10,
                        .priority = -11,
                        .idempotent = false,
+                       .isolated = true,
+                       .attempt = 15,
                        .deadline = boot_now() + std::chrono::seconds(20),
                        .prompt_tokens = 12,
                        .max_tokens = 13,
@@ -206,6 +208,8 @@
     BOOST_TEST(question.prefix == 10U);
     BOOST_TEST(question.priority == -11);
     BOOST_TEST(!question.idempotent);
+    BOOST_TEST(question.isolated);
+    BOOST_TEST(question.attempt == 15U);
     BOOST_TEST(question.prompt_tokens == 12U);
     BOOST_TEST(question.max_tokens == 13U);
     BOOST_TEST(question.sheet_number == 14U);
