--- a/marjorampath/lease/held_grant.hpp
+++ b/marjorampath/lease/held_grant.hpp
@@ -13,18 +13,18 @@
     request_id request;
     /// Endpoint that it runs at.
     endpoint_id endpoint;
-    /// Kind of the endpoint.
-    endpoint_kind_id kind;
     /// Adapter version that it uses; empty for plain services.
     adapter_version_id adapter;
-    /// Team that it is accounted to.
-    team_id team;
     /// Content of the request.
     fingerprint_id fingerprint;
-    /// Whether it was granted alone on its endpoint.
-    bool isolated = false;
     /// Time left until its deadline.
     duration remaining{0};
+    /// Kind of the endpoint.
+    endpoint_kind_id kind;
+    /// Team that it is accounted to.
+    team_id team;
+    /// Whether it was granted alone on its endpoint.
+    bool isolated = false;
 };
 
 } // namespace marjorampath
--- a/marjorampath/lease/lease_claim.hpp
+++ b/marjorampath/lease/lease_claim.hpp
@@ -86,6 +86,8 @@
     host_id hinted_holder;
     /// Fencing number of the holder by hearsay.
     std::uint64_t hinted_number = 0;
+    /// Host that should hold the resource, by the hosts as known now; empty for none.
+    host_id preferred;
     /// Time since which another host is preferred, while this one holds the lease.
     std::optional<time_point> foreign_since;
     /// Time until which another host was offered the lease and this one does not ask.
--- a/marjorampath/lease/lease_holder.cpp
+++ b/marjorampath/lease/lease_holder.cpp
@@ -32,18 +32,32 @@
             hand_over(now, claim, {}, actions);
     }
     claims_ = std::move(kept);
+    choose_preferred();
+}
+
+void lease_holder::choose_preferred()
+{
+    for (auto& [resource, claim] : claims_)
+        claim.preferred = preferred(claim.resource());
 }
 
 void lease_holder::set_hosts(std::span<known_host const> hosts, std::uint64_t incarnation)
 {
     incarnation_ = incarnation;
     witnesses_ = choose_witnesses(hosts, options_);
+    std::erase_if(unanswered_,
+                  [&](auto const& entry)
+                  {
+                      return std::find(witnesses_.begin(), witnesses_.end(),
+                                       entry.first) == witnesses_.end();
+                  });
     candidates_.clear();
     for (auto const& host : hosts)
     {
         if (host.eligible())
             candidates_.emplace(host.record.host, host.record.zone);
     }
+    choose_preferred();
 }
 
 void lease_holder::on_tick(time_point now, wall_milliseconds wall, lease_actions& actions)
@@ -81,7 +95,7 @@
 {
     if (leaving_ || claim.yield_until > now)
         return false;
-    return claim.fencing_number() != 0 || preferred(claim.resource()) == self_;
+    return claim.fencing_number() != 0 || claim.preferred == self_;
 }
 
 void lease_holder::settle_claim(time_point now, lease_claim& claim,
@@ -114,7 +128,7 @@
 {
     if (!claim.held)
         return;
-    auto const better = preferred(claim.resource());
+    auto const better = claim.preferred;
     if (!better || better == self_)
         return claim.foreign_since.reset();
     if (!claim.foreign_since)
@@ -169,26 +183,60 @@
 void lease_holder::send_requests(time_point now, std::vector<resource_id> const& due,
                                  lease_actions& actions)
 {
-    if (due.empty())
-        return;
-    std::vector<lease_want> wants;
+    // New leases are asked for everywhere, held ones renewed at as many as are needed
+    std::vector<lease_want> fresh;
+    std::vector<lease_want> all;
     for (auto const& resource : due)
-        wants.push_back({resource, claims_.at(resource).fencing_number()});
+    {
+        auto const& claim = claims_.at(resource);
+        all.push_back({resource, claim.fencing_number()});
+        if (!claim.held)
+            fresh.push_back(all.back());
+    }
+    auto const renewing = renewal_witnesses();
     for (auto const& witness : witnesses_)
     {
-        ++request_number_;
-        pending_.emplace(
-            request_number_,
-            pending_request{.witness = witness, .sent_at = now, .wants = wants});
-        actions.push_back(
-            send_lease_request{.to = witness,
-                               .request = {.holder = self_,
-                                           .holder_incarnation = incarnation_,
-                                           .request_number = request_number_,
-                                           .wants = wants}});
+        auto const renews =
+            std::find(renewing.begin(), renewing.end(), witness) != renewing.end();
+        send_request(now, witness, renews ? all : fresh, actions);
     }
 }
 
+std::vector<host_id> lease_holder::renewal_witnesses() const
+{
+    // Each holder prefers others, so that the load is spread
+    auto order = rendezvous_order<host_tag, host_tag>(self_, witnesses_);
+    auto const silence = [&](host_id witness)
+    {
+        auto const found = unanswered_.find(witness);
+        return found != unanswered_.end() ? found->second : 0;
+    };
+    std::stable_sort(order.begin(), order.end(),
+                     [&](host_id left, host_id right)
+                     { return silence(left) < silence(right); });
+    auto const needed = static_cast<std::size_t>(options_.quorum()) + 1;
+    if (order.size() > needed)
+        order.resize(needed);
+    return order;
+}
+
+void lease_holder::send_request(time_point now, host_id witness,
+                                std::vector<lease_want> const& wants,
+                                lease_actions& actions)
+{
+    if (wants.empty())
+        return;
+    ++request_number_;
+    ++unanswered_[witness];
+    pending_.emplace(request_number_,
+                     pending_request{.witness = witness, .sent_at = now, .wants = wants});
+    actions.push_back(send_lease_request{.to = witness,
+                                         .request = {.holder = self_,
+                                                     .holder_incarnation = incarnation_,
+                                                     .request_number = request_number_,
+                                                     .wants = wants}});
+}
+
 void lease_holder::on_reply(time_point now, wall_milliseconds wall,
                             lease_reply const& reply, lease_actions& actions)
 {
@@ -197,6 +245,8 @@
         return;
     auto const request = std::move(found->second);
     pending_.erase(found);
+    if (reply.active)
+        unanswered_.erase(reply.witness);
 
     std::vector<resource_id> chosen;
     for (auto const& verdict : reply.verdicts)
@@ -325,72 +375,6 @@
     }
 }
 
-std::optional<std::uint64_t> lease_holder::may_order(resource_id resource,
-                                                     time_point now) const
-{
-    auto const found = claims_.find(resource);
-    if (found == claims_.end() || !found->second.held)
-        return std::nullopt;
-
-    // The control thread itself may have paused since its last tick
-    if (!last_tick_ || now - *last_tick_ > options_.tick_gap)
-        return std::nullopt;
-    if (found->second.confirmed_until(witnesses_, options_.quorum()) <= now)
-        return std::nullopt;
-    return found->second.fencing_number();
-}
-
-lease_standing lease_holder::standing(resource_id resource, time_point now) const
-{
-    if (may_order(resource, now))
-        return lease_standing::held;
-    auto const found = claims_.find(resource);
-    auto const lapsed = found != claims_.end() && found->second.held_last;
-    return lapsed ? lease_standing::lapsed : lease_standing::none;
-}
-
-host_id lease_holder::owner_hint(resource_id resource, time_point now) const
-{
-    auto const found = claims_.find(resource);
-    if (found == claims_.end())
-        return {};
-    if (may_order(resource, now))
-        return self_;
-    auto const hinted = found->second.hinted_holder;
-    if (hinted && hinted != self_ && candidates_.contains(hinted))
-        return hinted;
-    return preferred(found->second.resource());
-}
-
-host_id lease_holder::preferred(leased_resource const& resource, host_id excluded) const
-{
-    host_id best;
-    for (auto const& [host, zone] : candidates_)
-    {
-        if (host == excluded || (leaving_ && host == self_))
-            continue;
-        if (!best || goes_before(resource, host, best))
-            best = host;
-    }
-    return best;
-}
-
-bool lease_holder::goes_before(leased_resource const& resource, host_id left,
-                               host_id right) const
-{
-    auto const in_zone = [&](host_id host)
-    {
-        auto const found = candidates_.find(host);
-        return found != candidates_.end() && found->second == resource.zone;
-    };
-    auto const left_in_zone = in_zone(left);
-    if (left_in_zone != in_zone(right))
-        return left_in_zone;
-    auto const left_weight = rendezvous_weight(resource.resource, left);
-    auto const right_weight = rendezvous_weight(resource.resource, right);
-    return left_weight != right_weight ? left_weight > right_weight : left > right;
-}
-
 std::uint64_t lease_holder::number_floor(wall_milliseconds wall) noexcept
 {
     auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(wall).count();
--- a/marjorampath/lease/lease_holder.hpp
+++ b/marjorampath/lease/lease_holder.hpp
@@ -91,6 +91,8 @@
         std::vector<lease_want> wants;
     };
 
+    // Chooses the preferred host of each resource anew
+    void choose_preferred();
     // Gives up all leases after a pause
     void drop_all(time_point now, lease_loss reason, lease_actions& actions);
     // Announces what a quorum confirms, and what it no longer does
@@ -105,6 +107,12 @@
     // Sends one request to each witness for the given resources
     void send_requests(time_point now, std::vector<resource_id> const& due,
                        lease_actions& actions);
+    // Sends one request for the given resources to one witness
+    void send_request(time_point now, host_id witness,
+                      std::vector<lease_want> const& wants, lease_actions& actions);
+    // The witnesses that renewals go to: one more than the quorum, those that answer
+    // first
+    [[nodiscard]] std::vector<host_id> renewal_witnesses() const;
     // Takes one verdict of a reply
     void take_verdict(time_point now, lease_claim& claim, lease_verdict const& verdict,
                       pending_request const& request, lease_actions& actions);
@@ -126,6 +134,8 @@
     std::map<host_id, zone_id> candidates_;
     // Hosts asked for leases
     std::vector<host_id> witnesses_;
+    // Number of requests since each witness's latest answer
+    std::map<host_id, std::uint32_t> unanswered_;
     // Requests not yet answered, by number
     std::map<std::uint64_t, pending_request> pending_;
     // Number of the latest request
--- a/tests/unit/fleet/mock_fleet.hpp
+++ b/tests/unit/fleet/mock_fleet.hpp
@@ -91,6 +91,8 @@
         int generation = 0;
         // Time of the start of the process
         duration started{0};
+        // Bytes sent and received so far, by estimate
+        std::uint64_t bytes = 0;
         std::unique_ptr<fleet_process> process;
     };
 
@@ -116,8 +118,6 @@
     mock_network network;
     std::vector<place> places;
     std::vector<leased_resource> resources;
-    /// Bytes sent so far by estimate.
-    std::uint64_t bytes = 0;
 
     // Carries out what machines decided
     void run(std::size_t index, membership_actions& actions);
--- a/tests/unit/fleet/mock_fleet_send.hpp
+++ b/tests/unit/fleet/mock_fleet_send.hpp
@@ -20,11 +20,14 @@
 void mock_fleet::send(std::size_t from, host_id to, Message const& message,
                       Deliver deliver)
 {
-    if constexpr (requires { encoded_size(message); })
-        bytes += encoded_size(message);
     auto const target = index_of(to);
     if (target == places.size())
         return;
+    if constexpr (requires { encoded_size(message); })
+    {
+        places[from].bytes += encoded_size(message);
+        places[target].bytes += encoded_size(message);
+    }
     network.send(from, target,
                  [this, target, message, deliver]
                  {
