--- a/serving/fleet/fleet.cpp
+++ b/serving/fleet/fleet.cpp
@@ -52,7 +52,7 @@
                 .take_news = [this](host_id, gossip const& news) { take_news(news); },
                 .on_host = [this](host_changed const& change) { on_host(change); },
                 .on_new_incarnation = [this] { leases_.on_new_incarnation(); }}),
-      leases_(self_, make_lease_options(settings), peers_,
+      leases_(self_, make_lease_options(settings), members_.table(), peers_,
               {.on_acquired = [this](lease_acquired const& lease) { on_acquired(lease); },
                .on_lost = [this](lease_lost const&) { on_lost(); }}),
       router_({.self = self_, .cell = cell_}, leases_.holder(), local, peers_),
@@ -110,7 +110,7 @@
 {
     auto const now = boot_now();
     members_.on_tick();
-    leases_.on_tick(members_.table());
+    leases_.on_tick();
     watch_deposition(now);
     advance_takeover(now);
     router_.on_tick();
--- a/serving/fleet/lease_shell.cpp
+++ b/serving/fleet/lease_shell.cpp
@@ -19,10 +19,10 @@
 
 } // namespace
 
-lease_shell::lease_shell(host_id self, lease_options const& options, fleet_peers& peers,
-                         lease_events events)
-    : self_(self), peers_(peers), events_(std::move(events)), holder_(self, options),
-      witness_(self, options), duty_(options)
+lease_shell::lease_shell(host_id self, lease_options const& options,
+                         host_table const& hosts, fleet_peers& peers, lease_events events)
+    : self_(self), hosts_(hosts), peers_(peers), events_(std::move(events)),
+      holder_(self, options), witness_(self, options), duty_(options)
 {
 }
 
@@ -30,7 +30,7 @@
 {
     service.on_lease =
         [this](lease_request const& request, reply_function<lease_reply> const& reply)
-    { reply(witness_.on_request(boot_now(), request, incarnation_, duty_)); };
+    { reply(judge(request)); };
     service.on_lease_release =
         [this](lease_release const& release, reply_function<acknowledgement> const& reply)
     {
@@ -46,16 +46,27 @@
     carry_out(actions);
 }
 
-void lease_shell::on_tick(host_table const& hosts)
+lease_reply lease_shell::judge(lease_request const& request)
 {
     auto const now = boot_now();
-    incarnation_ = hosts.self().incarnation;
-    duty_.update(now, self_, hosts.hosts());
-    if (hosts.revision() != revision_)
-    {
-        revision_ = hosts.revision();
-        holder_.set_hosts(hosts.hosts(), incarnation_);
-    }
+    take_hosts(now);
+    return witness_.on_request(now, request, incarnation_, duty_);
+}
+
+void lease_shell::take_hosts(time_point now)
+{
+    incarnation_ = hosts_.self().incarnation;
+    duty_.update(now, self_, hosts_.hosts());
+    if (hosts_.revision() == revision_)
+        return;
+    revision_ = hosts_.revision();
+    holder_.set_hosts(hosts_.hosts(), incarnation_);
+}
+
+void lease_shell::on_tick()
+{
+    auto const now = boot_now();
+    take_hosts(now);
     if (now >= next_tidying_)
     {
         witness_.forget_old(now);
@@ -99,8 +110,7 @@
 {
     // A witness that is this host itself is asked without a call
     if (action.to == self_)
-        return take_reply(
-            witness_.on_request(boot_now(), action.request, incarnation_, duty_));
+        return take_reply(judge(action.request));
     peers_.call<lease_request>(action.to, action.request, answer_timeout,
                                [this](std::error_code error, lease_reply const& reply)
                                {
--- a/serving/fleet/lease_shell.hpp
+++ b/serving/fleet/lease_shell.hpp
@@ -28,9 +28,10 @@
 class lease_shell
 {
 public:
-    /// Joins the decisions and the way to other hosts, which outlives this object.
-    lease_shell(host_id self, lease_options const& options, fleet_peers& peers,
-                lease_events events);
+    /// Joins the decisions, what is known of hosts and the way to them, which outlive
+    /// this object.
+    lease_shell(host_id self, lease_options const& options, host_table const& hosts,
+                fleet_peers& peers, lease_events events);
 
     /// Serves the requests and releases of other hosts.
     void serve(node_service& service);
@@ -39,7 +40,7 @@
     void set_resources(std::vector<leased_resource> const& resources);
 
     /// To be called at least every 50 ms, after the membership's tick.
-    void on_tick(host_table const& hosts);
+    void on_tick();
 
     /// This process counts as a new one: what it promised as a witness is void.
     void on_new_incarnation()
@@ -70,8 +71,16 @@
     // Takes a release, as a witness and as a possible successor
     void take_release(lease_release const& release);
 
+    // Answers a request as a witness, by what is known of hosts right now
+    lease_reply judge(lease_request const& request);
+
+    // Takes the hosts as known now
+    void take_hosts(time_point now);
+
     // This host
     host_id self_;
+    // What is known of hosts
+    host_table const& hosts_;
     // Way to other hosts
     fleet_peers& peers_;
     // Who is told
