Print only settings that have a value

Cause: a node without a fleet printed an empty fleet.address, which could not be read again (settings_file_test/settings_survive_being_printed). Change: settings without a value are left out.

--- a/serving/fleet/grant_router.cpp
+++ b/serving/fleet/grant_router.cpp
@@ -26,11 +26,12 @@
 {
     return {.request = asked,
             .endpoint = endpoint,
-            .kind = question.endpoints,
             .adapter = question.adapter,
-            .team = question.team,
             .fingerprint = question.fingerprint,
-            .remaining = std::max(duration{0}, question.deadline - now)};
+            .remaining = std::max(duration{0}, question.deadline - now),
+            .kind = question.endpoints,
+            .team = question.team,
+            .isolated = question.isolated};
 }
 
 } // namespace
--- a/serving/settings/settings_file.cpp
+++ b/serving/settings/settings_file.cpp
@@ -224,7 +224,8 @@
     std::string_view section;
     for (auto const& field : all_settings_fields())
     {
-        if (!field.show)
+        auto const value = field.show ? field.show(settings) : std::string();
+        if (value.empty())
             continue;
 
         // A section begins where the first part of the name changes
@@ -236,8 +237,8 @@
         section = prefix;
 
         auto const name = prefix.empty() ? field.name : field.name.substr(dot + 1);
-        text += fmt::format("{}{}: {} # {}\n", prefix.empty() ? "" : "  ", name,
-                            field.show(settings), field.text);
+        text += fmt::format("{}{}: {} # {}\n", prefix.empty() ? "" : "  ", name, value,
+                            field.text);
     }
     return text;
 }
--- a/tests/unit/link/codec_test.cpp
+++ b/tests/unit/link/codec_test.cpp
@@ -170,8 +170,8 @@
         2,
         resource_id(3),
         4,
-        {{request_id(5), endpoint_id(6), endpoint_kind_id(7), adapter_version_id(8),
-          team_id(9), fingerprint_id(10), true, duration(11)}}});
+        {{request_id(5), endpoint_id(6), adapter_version_id(7), fingerprint_id(8),
+          duration(9), endpoint_kind_id(10), team_id(11), true}}});
 }
 
 BOOST_AUTO_TEST_CASE(a_grant_request_keeps_all_fields_and_the_time_left)
