Evict versions that no sheet assigns any more first

Cause: after a new sheet the old versions kept their slots by the demand that they had, and the new ones took turns in what was left: 39 loads for 4 adapters in process test slots_go_to_the_versions_of_the_new_sheet.

Change: the node tells its cell which versions the last sheet lost; their demand is forgotten, so that they are evicted first.

The new unit test fails without the event (4 loads where 1 is needed).

--- a/marjorampath/cell/cell.cpp
+++ b/marjorampath/cell/cell.cpp
@@ -47,6 +47,17 @@
     state_->settle(now, out);
 }
 
+void cell::on_retired(adapter_version_id adapter, time_point now, cell_actions& out)
+{
+    for (auto& [id, kind] : state_->placement.kinds())
+    {
+        auto& retired = state_->placement.adapter(kind, adapter);
+        retired.demand.clear();
+        state_->placement.reindex(retired);
+    }
+    state_->settle(now, out);
+}
+
 void cell::on_load_finished(endpoint_id endpoint, adapter_version_id adapter,
                             error_kind error, time_point now, cell_actions& out)
 {
--- a/marjorampath/cell/cell.hpp
+++ b/marjorampath/cell/cell.hpp
@@ -81,6 +81,11 @@
     void on_unload_finished(endpoint_id endpoint, adapter_version_id adapter,
                             error_kind error, time_point now, cell_actions& out);
 
+    /// No sheet assigns the adapter version any more: past demand for it does not count,
+    /// so that its copies are evicted first. Requests that were resolved by an earlier
+    /// sheet still run on it.
+    void on_retired(adapter_version_id adapter, time_point now, cell_actions& out);
+
     /// A host has been silent longer than the longest deadline: its requests no longer
     /// run.
     void on_entry_host_lost(host_id host, time_point now, cell_actions& out);
--- a/marjorampath/placement/demand_estimate.hpp
+++ b/marjorampath/placement/demand_estimate.hpp
@@ -23,6 +23,12 @@
         level_ = high + std::log2(1.0 + std::exp2(low - high));
     }
 
+    /// Forgets all requests.
+    void clear() noexcept
+    {
+        *this = {};
+    }
+
     /// Logarithm of the frequency, comparable between adapters of one clock.
     [[nodiscard]] double level() const noexcept
     {
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -210,9 +210,21 @@
 {
     log_event(event::sheet_accepted, "number", taken->number(), "adapters",
               taken->tables().adapters.size());
+    retire_versions(*taken);
+    known_sheet_ = taken;
     publish();
 }
 
+void node::retire_versions(sheet const& taken)
+{
+    if (!known_sheet_)
+        return;
+    for (auto const& assignment : known_sheet_->tables().adapters)
+        if (!taken.find_version(assignment.id))
+            cell_.feed([&](auto& cell, time_point now, cell_actions& out)
+                       { cell.on_retired(assignment.id, now, out); });
+}
+
 void node::log_sheet_failure(sheet_source::failure const& failure)
 {
     if (failure.error)
--- a/serving/node/node.hpp
+++ b/serving/node/node.hpp
@@ -66,6 +66,9 @@
     // Takes a sheet into force
     void take_sheet(std::shared_ptr<sheet const> const& taken);
 
+    // Tells the cell of versions that only the sheet before has
+    void retire_versions(sheet const& taken);
+
     // Logs why a sheet was not taken
     static void log_sheet_failure(sheet_source::failure const& failure);
 
@@ -107,6 +110,8 @@
     sheet_holder sheets_;
     // Keeps the sheet up to date
     sheet_source sheet_source_;
+    // The sheet that was taken last
+    std::shared_ptr<sheet const> known_sheet_;
     // Reads the host list
     host_list_client host_list_;
     // Last host list
--- a/tests/unit/cell/cell_fault_test.cpp
+++ b/tests/unit/cell/cell_fault_test.cpp
@@ -401,4 +401,39 @@
     BOOST_TEST((harness.refused(last)->reason == error_kind::no_endpoint));
 }
 
+BOOST_AUTO_TEST_CASE(a_version_that_no_sheet_assigns_gives_way_to_the_next)
+{
+    cell_harness harness(ennstal_profile(), 1, 2, 8);
+    auto const serve = [&](std::string const& adapter)
+    {
+        auto const request = harness.ask(adapter);
+        harness.finish_orders();
+        harness.advance(1s);
+        harness.finish_orders();
+        harness.release(request);
+    };
+
+    // Two versions that were asked for often hold both slots
+    for (int round = 0; round < 20; ++round)
+    {
+        serve("a@1");
+        serve("b@1");
+    }
+    for (auto const* retired : {"a@1", "b@1"})
+    {
+        harness.tested.on_retired(cell_harness::adapter(retired), harness.now,
+                                  harness.out);
+        harness.apply();
+    }
+
+    // The versions after them are asked for in turn and are loaded once each
+    for (int round = 0; round < 4; ++round)
+    {
+        serve("a@2");
+        serve("b@2");
+    }
+    BOOST_TEST(harness.load_orders("a@2") == 1);
+    BOOST_TEST(harness.load_orders("b@2") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
