--- a/programs/marjorampathd/main.cpp
+++ b/programs/marjorampathd/main.cpp
@@ -37,9 +37,9 @@
     auto const address = host.callers();
     log_event(event::listener_opened, "callers", address.address().to_string(), "port",
               address.port());
-    fmt::print("callers {}:{}\n", address.address().to_string(), address.port());
     if (auto const peers = host.peers())
-        fmt::print("peers {}:{}\n", peers->address().to_string(), peers->port());
+        fmt::print("peers {}:{} ", peers->address().to_string(), peers->port());
+    fmt::print("callers {}:{}\n", address.address().to_string(), address.port());
     std::fflush(stdout);
     host.run();
     return exit_fine;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -54,16 +54,17 @@
     ::posix_spawn_file_actions_destroy(&actions);
     ::close(pipe[1]);
 
-    auto const line = error == 0 ? read_line(pipe[0]) : std::string();
+    first_line_ = error == 0 ? read_line(pipe[0]) : std::string();
     ::close(pipe[0]);
-    auto const address = serving::parse_address(line.substr(line.rfind(' ') + 1));
+    auto const address =
+        serving::parse_address(first_line_.substr(first_line_.rfind(' ') + 1));
     if (!address)
     {
         if (error == 0)
             signal(SIGKILL);
         wait(std::chrono::seconds(5));
-        throw std::runtime_error(
-            fmt::format("{} printed no address but `{}`; log {}", program, line, log));
+        throw std::runtime_error(fmt::format("{} printed no address but `{}`; log {}",
+                                             program, first_line_, log));
     }
     address_ = *address;
 }
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -37,6 +37,12 @@
     /// The address as `IP:PORT`.
     [[nodiscard]] std::string address_text() const;
 
+    /// The line that it printed, which ends in its address.
+    [[nodiscard]] std::string const& first_line() const noexcept
+    {
+        return first_line_;
+    }
+
     /// Sends a signal.
     void signal(int number) const;
 
@@ -52,6 +58,8 @@
 
     // Process number; zero once it has ended
     pid_t pid_ = 0;
+    // What it printed
+    std::string first_line_;
     // Where it listens
     boost::asio::ip::tcp::endpoint address_;
 };
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
@@ -54,7 +55,10 @@
 
     // Nodes
     for (std::size_t index = 0; index < values.nodes; ++index)
-        start_node(values.node_settings);
+        start_node(values.node_settings +
+                   (values.joined ? join_settings(values.nodes) : std::string()));
+    if (values.joined)
+        publish_hosts();
     for (auto const& each : nodes_)
     {
         bool const ready = eventually(
@@ -81,6 +85,12 @@
         std::filesystem::remove_all(folder_, ignored);
 }
 
+std::string process_fleet::node_log(std::size_t index) const
+{
+    std::ifstream log(file(fmt::format("entry-{}.log", index)));
+    return {std::istreambuf_iterator<char>(log), {}};
+}
+
 std::string process_fleet::file(std::string const& name) const
 {
     return (folder_ / name).string();
@@ -94,16 +104,23 @@
                                            file(kind + ".log"));
 }
 
+std::string process_fleet::join_settings(std::size_t nodes)
+{
+    std::string zones;
+    for (std::size_t index = 0; index < nodes; ++index)
+        zones += fmt::format("{}zone-{}", index == 0 ? "" : ",", index);
+    return fmt::format("fleet:\n  address: 127.0.0.1:0\n  zones: {}\n", zones);
+}
+
 void process_fleet::start_node(std::string const& added_settings)
 {
     auto const name = fmt::format("entry-{}", nodes_.size());
     auto const settings = file(name + ".yaml");
-    write_file(settings,
-               fmt::format("host: {}\nzone: zone-{}\nregion: region\n"
-                           "callers: 127.0.0.1:0\nconfiguration_service: {}\n"
-                           "host_list: {}\nhost_list_interval_ms: 200\n{}",
-                           name, nodes_.size() % 2, configuration_->address_text(),
-                           hosts_->address_text(), added_settings));
+    write_file(settings, fmt::format("host: {}\nzone: zone-{}\nregion: region\n"
+                                     "callers: 127.0.0.1:0\nconfiguration_service: {}\n"
+                                     "host_list: {}\nhost_list_interval_ms: 200\n{}",
+                                     name, nodes_.size(), configuration_->address_text(),
+                                     hosts_->address_text(), added_settings));
     nodes_.push_back(std::make_unique<child_process>(
         "marjorampathd", std::vector<std::string>{"--settings", settings},
         file(name + ".log")));
@@ -152,6 +169,20 @@
     for (std::size_t index = 0; index < engines_.size(); ++index)
         add(fmt::format("engine-{}", index), "engine", *engines_[index], index);
     add("portal-0", "portal", *service_, 0);
+    for (std::size_t index = 0; index < nodes_.size(); ++index)
+    {
+        // A node that acts with others prints `peers ADDRESS` first
+        auto const& line = nodes_[index]->first_line();
+        if (!line.starts_with("peers "))
+            continue;
+        hosts.push_back(json::object{{"name", fmt::format("entry-{}", index)},
+                                     {"role", "entry"},
+                                     {"kind", ""},
+                                     {"address", line.substr(6, line.find(' ', 6) - 6)},
+                                     {"zone", fmt::format("zone-{}", index)},
+                                     {"region", "region"},
+                                     {"state", "live"}});
+    }
     auto const answer = call(hosts_->address(), "PUT", "/standin/hosts",
                              json::serialize(json::object{{"hosts", std::move(hosts)}}));
     if (answer.status != 200)
--- a/tests/process/process_fleet.hpp
+++ b/tests/process/process_fleet.hpp
@@ -32,6 +32,8 @@
         std::vector<std::string> engine_arguments{"--token-ms", "2", "--dead-ms", "300"};
         /// Arguments of the weight store.
         std::vector<std::string> store_arguments{"--load-ms", "20"};
+        /// Whether the nodes act together, each in a zone of its own.
+        bool joined = false;
         /// Lines that each node's settings have besides.
         std::string node_settings;
     };
@@ -69,6 +71,9 @@
         return *configuration_;
     }
 
+    /// What a node has logged.
+    [[nodiscard]] std::string node_log(std::size_t index) const;
+
     /// Publishes a sheet in which all adapters have the same version, with lines added to
     /// the table of adapters.
     void publish_sheet(std::uint64_t number, std::string const& version,
@@ -102,6 +107,9 @@
     // Starts one more node
     void start_node(std::string const& added_settings);
 
+    // Settings that join the nodes
+    static std::string join_settings(std::size_t nodes);
+
     // Folder for settings, sheets and logs
     std::filesystem::path folder_;
     // The platform
