--- a/marjorampath/capacity/capacity_model.cpp
+++ b/marjorampath/capacity/capacity_model.cpp
@@ -40,6 +40,15 @@
     double changes_per_second;
 };
 
+role_cost idle_cost(measured_slopes const& slopes)
+{
+    return {.role = "idle node",
+            .mechanism = "the program, its ticks, and its part in a fleet of three",
+            .grows_with = "nothing",
+            .core_share = slopes.base_us / us_per_second,
+            .memory_bytes = slopes.base_memory};
+}
+
 role_cost member_cost(derived_sizes const& sizes, fleet_design const& design,
                       measured_slopes const& slopes)
 {
@@ -152,9 +161,13 @@
                                           measured_slopes const& slopes)
 {
     derived_sizes const sizes(target, design);
-    return {member_cost(sizes, design, slopes),       holder_cost(sizes, design, slopes),
-            witness_cost(sizes, design, slopes),      reader_cost(target, sizes, slopes),
-            engine_watch_cost(sizes, design, slopes), grant_cost(target, sizes, slopes),
+    return {idle_cost(slopes),
+            member_cost(sizes, design, slopes),
+            holder_cost(sizes, design, slopes),
+            witness_cost(sizes, design, slopes),
+            reader_cost(target, sizes, slopes),
+            engine_watch_cost(sizes, design, slopes),
+            grant_cost(target, sizes, slopes),
             key_cost(sizes, design, slopes)};
 }
 
--- a/marjorampath/capacity/measured_slopes.hpp
+++ b/marjorampath/capacity/measured_slopes.hpp
@@ -42,8 +42,10 @@
     double cell_adapter_memory = 0;
     /// Memory of a remembered key, in bytes.
     double key_memory = 0;
-    /// Memory of the control part of an idle node, in bytes.
+    /// Memory of an idle node of three, in bytes.
     double base_memory = 0;
+    /// Processor time of an idle node of three, in microseconds a second.
+    double base_us = 0;
 };
 
 /// The name of a slope in the file and where it is kept.
@@ -74,6 +76,7 @@
     slope_field{"cell_adapter_memory", &measured_slopes::cell_adapter_memory},
     slope_field{"key_memory", &measured_slopes::key_memory},
     slope_field{"base_memory", &measured_slopes::base_memory},
+    slope_field{"base_us", &measured_slopes::base_us},
 };
 
 } // namespace marjorampath
--- a/programs/marjorampath-bench/slopes.cpp
+++ b/programs/marjorampath-bench/slopes.cpp
@@ -6,7 +6,10 @@
 #include <marjorampath/sheet/sheet_packer.hpp>
 #include <marjorampath/sheet/sheet_reader.hpp>
 #include <programs/marjorampath-bench/subcommand.hpp>
+#include <serving/link/grant_codec.hpp>
 
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <fmt/format.h>
 
 #include <ctime>
@@ -208,6 +211,28 @@
     print("key_memory", (used_memory() - memory) / key_count, "bytes");
 }
 
+// Bytes of a message between hosts as its codec writes it
+template <class Wire, class Message>
+double wire_bytes(Message const& message)
+{
+    capnp::MallocMessageBuilder builder;
+    schema::encode(message, builder.initRoot<Wire>());
+    return static_cast<double>(capnp::computeSerializedSizeInWords(builder) *
+                               sizeof(capnp::word));
+}
+
+void measure_grants()
+{
+    // Question, answer, release and its acknowledgement
+    constexpr double four_messages = 4.0 * message_overhead;
+    auto const content = wire_bytes<schema::GrantRequest>(serving::cell_grant_request{}) +
+                         wire_bytes<schema::GrantReply>(serving::cell_grant_reply{
+                             .decision = serving::cell_grant_reply::granted{}}) +
+                         wire_bytes<schema::ReleaseReport>(serving::cell_release{}) +
+                         wire_bytes<schema::Acknowledgement>(serving::acknowledgement{});
+    print("grant_bytes", content + four_messages, "bytes");
+}
+
 void measure_messages()
 {
     constexpr double two_messages = 2.0 * message_overhead;
@@ -247,6 +272,7 @@
     measure_hosts();
     measure_keys();
     measure_messages();
+    measure_grants();
     return 0;
 }
 
--- a/programs/marjorampath-capacity/main.cpp
+++ b/programs/marjorampath-capacity/main.cpp
@@ -57,10 +57,9 @@
 }
 
 void print_sum(std::string_view name, std::vector<role_cost> const& roles,
-               fleet_target const& target, double base_memory, bool with_requests)
+               fleet_target const& target, bool with_requests)
 {
     role_cost sum;
-    sum.memory_bytes = base_memory;
     for (auto const& role : roles)
     {
         if (role.per_request && !with_requests)
@@ -103,10 +102,8 @@
     print_roles(roles);
     fmt::print("\n## Against the bounds\n\n| roles | bytes | processor | memory |\n"
                "| --- | --- | --- | --- |\n");
-    print_sum("control that grows with the fleet", roles, target, slopes.base_memory,
-              false);
-    print_sum("with the messages of each request", roles, target, slopes.base_memory,
-              true);
+    print_sum("control that grows with the fleet", roles, target, false);
+    print_sum("with the messages of each request", roles, target, true);
     fmt::print("\nReads a second at the configuration service, all regions: {:.1f} of "
                "2,000.\n",
                configuration_reads_per_second(target, design));
--- a/tests/process/change_test.cpp
+++ b/tests/process/change_test.cpp
@@ -90,7 +90,7 @@
             auto const adapter = fmt::format("lot-{}", index % adapters);
             auto const answer = fleet.complete(adapter, "slots", 2, false);
             BOOST_TEST(answer.text() ==
-                       expected_text(adapter + "@" + version, "slots", 2));
+                       expected_text(fmt::format("{}@{}", adapter, version), "slots", 2));
         }
     };
     ask_all("v1", 10);
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-process_fleet::process_fleet(options values)
+process_fleet::process_fleet(options const& values)
 {
     auto pattern =
         (std::filesystem::temp_directory_path() / "marjorampath-XXXXXX").string();
--- a/tests/process/process_fleet.hpp
+++ b/tests/process/process_fleet.hpp
@@ -39,7 +39,7 @@
     };
 
     /// Starts everything and waits until each node is ready and has seen all endpoints.
-    explicit process_fleet(options values);
+    explicit process_fleet(options const& values);
 
     /// Kills the processes, by number, and removes the folder.
     ~process_fleet();
--- a/tests/unit/fleet/sheet_exchange_test.cpp
+++ b/tests/unit/fleet/sheet_exchange_test.cpp
@@ -65,7 +65,7 @@
                 },
                 .watch = [](bool) {},
                 .on_sheet =
-                    [this, &sheets](std::shared_ptr<sheet const> taken)
+                    [this, &sheets](std::shared_ptr<sheet const> const& taken)
                 {
                     BOOST_TEST((taken == sheets.current()));
                     ++in_force;
--- a/tests/unit/host_list/host_entry_test.cpp
+++ b/tests/unit/host_list/host_entry_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
+
 using namespace marjorampath::serving;
 
 BOOST_AUTO_TEST_SUITE(host_entry_test)
@@ -35,8 +37,9 @@
           R"({"name":"e2","role":"entry","state":"gone","address":"127.0.0.1:1"})",
           R"({"name":7,"role":"entry","state":"live","address":"127.0.0.1:1"})"})
     {
-        BOOST_TEST(
-            !parse_host_list(R"({"hosts":[)" + good + "," + bad + "]}").has_value(), bad);
+        BOOST_TEST(!parse_host_list(fmt::format(R"({{"hosts":[{},{}]}})", good, bad))
+                        .has_value(),
+                   bad);
     }
     // A name that stands twice
     BOOST_TEST(!parse_host_list(R"({"hosts":[)" + good + "," + good + "]}").has_value());
