--- a/demo.sh
+++ b/demo.sh
@@ -4,7 +4,7 @@
 # right. Set NODES to the number of entry hosts.
 set -euo pipefail
 cd "$(dirname "$0")"
-nodes=${NODES:-1}
+nodes=${NODES:-3}
 
 tools/install_packages.sh
 cmake --preset release > /dev/null
@@ -13,6 +13,8 @@
 bin=$PWD/build/release/bin
 work=$(mktemp -d)
 pids=()
+entry=()
+peers=()
 failed=0
 
 # Stops what was started, by process number.
@@ -86,7 +88,7 @@
 
 # hosts STATE-OF-ENGINE-0 — publishes the host list.
 hosts() {
-    local list="" name kind zone state
+    local list="" index name kind zone state
     for name in "${!endpoint[@]}"; do
         kind=${name%-*}
         zone=zone-$((${name##*-} % 2))
@@ -96,6 +98,11 @@
         list+="\"address\":\"${endpoint[$name]}\",\"zone\":\"$zone\",\"region\":\"demo\","
         list+="\"state\":\"$state\"}"
     done
+    for index in "${!peers[@]}"; do
+        list+=",{\"name\":\"entry-$index\",\"role\":\"entry\",\"kind\":\"\","
+        list+="\"address\":\"${peers[$index]}\",\"zone\":\"zone-$((index % 2))\","
+        list+="\"region\":\"demo\",\"state\":\"live\"}"
+    done
     http PUT "$host_list" /standin/hosts "{\"hosts\":[$list]}" > /dev/null
 }
 
@@ -124,7 +131,6 @@
 hosts live
 
 # Entry hosts in two zones
-entry=()
 for index in $(seq 0 $((nodes - 1))); do
     cat > "$work/entry-$index.yaml" << END
 host: entry-$index
@@ -134,10 +140,15 @@
 configuration_service: $configuration
 host_list: $host_list
 host_list_interval_ms: 200
+fleet:
+  address: 127.0.0.1:0
+  zones: zone-0,zone-1
 END
     start "entry-$index" "$bin/marjorampathd" --settings "$work/entry-$index.yaml"
     entry+=("$address")
+    peers+=("$(awk 'NR == 1 {print $2}' "$work/entry-$index.out")")
 done
+hosts live
 for node in "${entry[@]}"; do
     for _ in $(seq 200); do
         [[ $(http GET "$node" /services/hammer/up "") == *" 200 OK"* ]] && break
