--- a/marjorampath/trace/trace_generator.cpp
+++ b/marjorampath/trace/trace_generator.cpp
@@ -118,7 +118,7 @@
         }
         request.operation = "POST " + options_.once_path;
         request.body = fmt::format("{{\"entry\":{}}}", count_);
-        request.key = fmt::format("key-{:016x}", random_());
+        request.key = fmt::format("{}-{:016x}", options_.plain_service, random_());
     }
 
     // Options of the day
@@ -137,11 +137,11 @@
 {
     if (customer != "ennstal")
         return {};
-    return {.model_service = "summary",
-            .plain_service = "ledger",
-            .once_path = "/hammer",
+    return {.model_service = "catalogue",
+            .plain_service = "hammer",
+            .once_path = "/entries",
             .lookup_path = "/prices",
-            .adapter_prefix = "animal",
+            .adapter_prefix = "herd",
             .max_tokens = 32,
             .model_deadline_ms = 8'000};
 }
--- a/marjorampath/trace/trace_generator.hpp
+++ b/marjorampath/trace/trace_generator.hpp
@@ -15,13 +15,13 @@
     /// Service that runs on model engines.
     std::string model_service = "dossier";
     /// Plain service with lookups and operations that run at most once.
-    std::string plain_service = "portal";
+    std::string plain_service = "custody";
     /// Path of the plain service's operation that runs at most once.
     std::string once_path = "/transfers";
     /// Path of the plain service's lookups.
     std::string lookup_path = "/lots";
     /// Prefix of adapter names; adapters are `PREFIX-0`, `PREFIX-1`, …
-    std::string adapter_prefix = "mill";
+    std::string adapter_prefix = "origin";
     /// Number of adapters.
     std::uint32_t adapters = 3'000;
     /// Exponent of the Zipf distribution of adapter popularity.
