Read the fleet test without puzzles, and log no constant as a count

Cause: a comment and a condition of the fleet test said nothing; shutdown_finished logged cut=0 whatever had happened. Change: both are written plainly; the field is gone. Result: fleets and a_graceful_shutdown_cuts_no_stream pass.

--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -310,7 +310,7 @@
 
 void node::finish()
 {
-    log_event(event::shutdown_finished, "cut", 0);
+    log_event(event::shutdown_finished);
     signals_.cancel();
     sheet_source_.stop();
     host_list_.close();
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -14,9 +14,7 @@
 namespace
 {
 
-// The node that gives orders: the one that an engine gets loads from. Found by asking for
-// an adapter that no engine holds while all others are stopped would disturb the fleet,
-// so it is read from the nodes' own logs.
+// The node that owns the cell, as the nodes' logs tell
 std::size_t find_owner(process_fleet& fleet, std::size_t nodes)
 {
     std::size_t owner = nodes;
@@ -63,15 +61,12 @@
     auto stream =
         std::async(std::launch::async,
                    [&] { return fleet.complete("lot-1", "long", 400, true, other); });
-    BOOST_TEST(eventually(
-        [&]
-        {
-            return !fleet.engine_records("outcome", "x").empty() ||
-                   call(fleet.engine(0).address(), "GET", "/load")
-                           .body.find("\"running\":1") != std::string::npos ||
-                   call(fleet.engine(1).address(), "GET", "/load")
-                           .body.find("\"running\":1") != std::string::npos;
-        }));
+    auto const runs = [&](std::size_t engine)
+    {
+        auto const load = call(fleet.engine(engine).address(), "GET", "/load");
+        return load.body.find("\"running\":1") != std::string::npos;
+    };
+    BOOST_TEST(eventually([&] { return runs(0) || runs(1); }));
     fleet.node(owner).signal(SIGKILL);
     auto const taken = time_to_answer(fleet, other, "after the owner");
     BOOST_TEST_MESSAGE("first answer " << taken.count() << " ms after the owner's death");
