Make the reply of a cell's decision in one place

Cause: the grant router wrote the change of a cell's decision into a reply twice, for its own questions and for those of other hosts. Change: make_reply serves both; behaviour is the same.

--- a/serving/fleet/grant_router.cpp
+++ b/serving/fleet/grant_router.cpp
@@ -95,18 +95,20 @@
     auto question = waiting.question;
     question.request = waiting.asked;
     auto const original = waiting.question.request;
-    local_.request(
-        question,
-        [this, original, asked = waiting.asked](grant_reply const& reply)
-        {
-            cell_grant_reply decided{.request = asked, .fencing_number = number_};
-            if (auto const* grant = std::get_if<grant_action>(&reply))
-                decided.decision = cell_grant_reply::granted{grant->endpoint};
-            else if (auto const* refusal = std::get_if<refuse_action>(&reply))
-                decided.decision =
-                    cell_grant_reply::refused{refusal->reason, refusal->retry_after};
-            take(original, asked, decided);
-        });
+    local_.request(question,
+                   [this, original, asked = waiting.asked](grant_reply const& reply)
+                   { take(original, asked, make_reply(asked, reply)); });
+}
+
+cell_grant_reply grant_router::make_reply(request_id asked,
+                                          grant_reply const& decided) const
+{
+    cell_grant_reply reply{.request = asked, .fencing_number = number_};
+    if (auto const* grant = std::get_if<grant_action>(&decided))
+        reply.decision = cell_grant_reply::granted{grant->endpoint};
+    else if (auto const* refusal = std::get_if<refuse_action>(&decided))
+        reply.decision = cell_grant_reply::refused{refusal->reason, refusal->retry_after};
+    return reply;
 }
 
 void grant_router::ask_there(waiting_request& waiting)
@@ -331,18 +333,8 @@
         return;
     }
 
-    local_.request(
-        question.question,
-        [this, asked, reply](grant_reply const& decided)
-        {
-            cell_grant_reply answer{.request = asked, .fencing_number = number_};
-            if (auto const* grant = std::get_if<grant_action>(&decided))
-                answer.decision = cell_grant_reply::granted{grant->endpoint};
-            else if (auto const* refusal = std::get_if<refuse_action>(&decided))
-                answer.decision =
-                    cell_grant_reply::refused{refusal->reason, refusal->retry_after};
-            reply(answer);
-        });
+    local_.request(question.question, [this, asked, reply](grant_reply const& decided)
+                   { reply(make_reply(asked, decided)); });
 }
 
 } // namespace marjorampath::serving
--- a/serving/fleet/grant_router.hpp
+++ b/serving/fleet/grant_router.hpp
@@ -123,6 +123,10 @@
     // Asks the cell of this host
     void ask_here(waiting_request& waiting);
 
+    // The decision of this host's cell as a reply that carries the owner's number
+    [[nodiscard]] cell_grant_reply make_reply(request_id asked,
+                                              grant_reply const& decided) const;
+
     // Asks another host
     void ask_there(waiting_request& waiting);
 
