--- /dev/null
+++ b/marjorampath/adapter_load/load_planner_options.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <marjorampath/core/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace marjorampath
+{
+
+/// Settings of a load planner.
+struct load_planner_options
+{
+    /// Pause between taking a lease over and the first order: longer than the span within
+    /// which endpoints count orders of two hosts as taking turns.
+    duration quiet_time = std::chrono::milliseconds(3'100);
+    /// Time of an adapter's load from the weight store, unloaded.
+    duration adapter_load_time = std::chrono::milliseconds(255);
+    /// Adapters on their way from the weight store to all engines that are loaded at full
+    /// speed; loads take longer in proportion beyond.
+    std::uint32_t transit_at_full_speed = 8;
+    /// Adapters that may be on their way to one engine: the engine's own bound.
+    std::uint32_t transit_of_engine = 4;
+    /// Half-life of the counts by which adapters are kept.
+    duration use_half_life = std::chrono::seconds(6);
+    /// Time for which an adapter stays after its load ended, so that whoever waits for it
+    /// gets there.
+    duration arrival_protection = std::chrono::milliseconds(600);
+    /// Time after which what a host reported as in flight is not believed any more.
+    duration usage_memory = std::chrono::seconds(2);
+    /// Time before a report tells of an order: the lag of reports.
+    duration report_lag = std::chrono::milliseconds(500);
+    /// Orders that may wait for one engine.
+    std::size_t max_steps = 16;
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/deployment/call_kind.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace marjorampath
+{
+
+/// How often the requests of a route may run, and what their answers look like.
+enum class call_kind : std::uint8_t
+{
+    /// Idempotent; may run any number of times.
+    safe,
+    /// Not idempotent; runs at most once.
+    unsafe,
+    /// Answered by a stream of events; runs at most once.
+    stream,
+    /// Answered by a stream of events that another endpoint can continue.
+    resumable_stream
+};
+
+/// Whether a request of this kind may run more than once.
+constexpr bool is_idempotent(call_kind kind) noexcept
+{
+    return kind == call_kind::safe || kind == call_kind::resumable_stream;
+}
+
+/// Whether requests of this kind are answered by a stream of events.
+constexpr bool is_stream(call_kind kind) noexcept
+{
+    return kind == call_kind::stream || kind == call_kind::resumable_stream;
+}
+
+/// The name of a kind, as in logs.
+std::string_view to_string(call_kind kind) noexcept;
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -0,0 +1,74 @@
+#include <marjorampath/deployment/endpoint_catalog.hpp>
+
+#include <set>
+#include <utility>
+
+namespace marjorampath
+{
+
+std::vector<endpoint_event>
+endpoint_catalog::take_listing(time_point now, std::uint64_t revision,
+                               std::vector<endpoint_announcement> listing)
+{
+    std::vector<endpoint_event> events;
+    if (revision < revision_)
+        return events;
+    if (listed_at_ && now - *listed_at_ > options_.outage)
+        keep_missing_until_ = now + options_.return_grace;
+    revision_ = revision;
+    listed_at_ = now;
+
+    std::set<endpoint_id> listed;
+    for (auto& entry : listing)
+    {
+        listed.insert(entry.id);
+        take_entry(std::move(entry), events);
+    }
+    if (now < keep_missing_until_)
+        return events;
+    std::erase_if(endpoints_,
+                  [&](auto& known)
+                  {
+                      if (listed.contains(known.first))
+                          return false;
+                      events.push_back({.change = endpoint_change::gone,
+                                        .endpoint = std::move(known.second)});
+                      return true;
+                  });
+    return events;
+}
+
+void endpoint_catalog::take_entry(endpoint_announcement entry,
+                                  std::vector<endpoint_event>& events)
+{
+    auto const found = endpoints_.find(entry.id);
+    if (found == endpoints_.end())
+    {
+        events.push_back({.change = endpoint_change::appeared, .endpoint = entry});
+        endpoints_.emplace(entry.id, std::move(entry));
+        return;
+    }
+
+    auto& known = found->second;
+    if (entry.revision <= known.revision || entry.born < known.born)
+        return;
+    auto const restarted = entry.born != known.born || entry.address != known.address ||
+                           entry.port != known.port || entry.service != known.service;
+    if (!restarted && known.draining)
+        entry.draining = true;
+    auto change = endpoint_change::updated;
+    if (restarted)
+        change = endpoint_change::restarted;
+    else if (entry.draining && !known.draining)
+        change = endpoint_change::draining;
+    known = std::move(entry);
+    events.push_back({.change = change, .endpoint = known});
+}
+
+endpoint_announcement const* endpoint_catalog::find(endpoint_id id) const
+{
+    auto const found = endpoints_.find(id);
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/dispatch/call_end.cpp
@@ -0,0 +1,17 @@
+#include <marjorampath/dispatch/call_end.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace marjorampath
+{
+
+std::string_view to_string(call_end value) noexcept
+{
+    constexpr std::array<std::string_view, 10> names{
+        "finished",    "failed", "refused", "adapter_missing", "another_instance",
+        "unreachable", "lost",   "garbled", "timed_out",       "cancelled"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/dispatch/dispatch_options.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <marjorampath/core/time.hpp>
+
+#include <cstdint>
+
+namespace marjorampath
+{
+
+/// Settings of a dispatcher.
+struct dispatch_options
+{
+    /// Prompt tokens that an engine reads in a millisecond: the deployment sheets'
+    /// engines.
+    double prefill_tokens_per_ms = 38.0;
+    /// Time that each request which runs at an engine adds to a newcomer's first token:
+    /// one step of a batch, shared between the requests that it serves.
+    duration running_cost = std::chrono::microseconds(300);
+    /// Time of an adapter's load: the deployment sheets' weight store, unloaded.
+    duration adapter_load_time = std::chrono::milliseconds(250);
+    /// What a longer way to another zone counts, so that equals stay in their zone.
+    duration other_zone_cost = std::chrono::milliseconds(6);
+    /// What a new copy of an adapter must save before it is loaded beside a present one.
+    duration copy_gain = std::chrono::milliseconds(150);
+    /// Time for which a prompt part is expected to stay in an engine's cache.
+    duration part_memory = std::chrono::seconds(20);
+    /// Multiple of a request's objective that it may have to wait for its first byte; it
+    /// is refused beyond. A late answer is worth about half of one in time.
+    double longest_wait = 3.0;
+    /// Time after which the status that a lease holder reported of an engine is stale:
+    /// five intervals between beats.
+    duration status_memory = std::chrono::milliseconds(1'200);
+    /// Time for which an engine's own answer outweighs older reports of what it holds.
+    duration answer_memory = std::chrono::milliseconds(700);
+    /// Pause before an engine is asked again for a load that it refused.
+    duration load_refusal_pause = std::chrono::milliseconds(250);
+    /// Time after which a load that was asked for without an answer is asked for again:
+    /// several times the way to another zone and back.
+    duration load_answer_timeout = std::chrono::milliseconds(100);
+    /// Failures in a row after which an endpoint is ejected.
+    std::uint32_t ejection_threshold = 2;
+    /// First pause of an ejected endpoint.
+    duration ejection_pause = std::chrono::milliseconds(400);
+    /// Longest pause of an ejected endpoint: about the interval at which service
+    /// discovery forgets a dead endpoint.
+    duration longest_ejection = std::chrono::seconds(3);
+    /// Pause that a refused caller is told where nothing better is known.
+    duration retry_pause = std::chrono::milliseconds(800);
+    /// Seed of the jitter.
+    std::uint64_t seed = 1;
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <marjorampath/deployment/deployment.hpp>
+#include <marjorampath/deployment/endpoint_catalog.hpp>
+#include <marjorampath/dispatch/call.hpp>
+#include <marjorampath/dispatch/call_end.hpp>
+#include <marjorampath/dispatch/dispatch_decision.hpp>
+#include <marjorampath/dispatch/dispatch_options.hpp>
+#include <marjorampath/dispatch/endpoint_load.hpp>
+#include <marjorampath/peer/engine_status.hpp>
+#include <marjorampath/peer/engine_usage.hpp>
+#include <marjorampath/peer/load_messages.hpp>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace marjorampath
+{
+
+/// Decides on one host which endpoint runs a request, whether it waits for an adapter,
+/// and when it is refused.
+///
+/// The load pattern that it answers: many adapters of very uneven popularity on few
+/// engines, with bursts. A request goes where its first token is expected soonest, by the
+/// prompt tokens that wait there; an adapter that no engine holds is asked for at once at
+/// the engine that has most room; a request that would wait for a multiple of its
+/// objective is refused before it joins the queue.
+class dispatcher
+{
+public:
+    /// Makes a dispatcher that knows no endpoint.
+    dispatcher(zone_id zone, dispatch_options options);
+
+    /// Takes the services of a deployment.
+    void set_services(std::vector<service_definition> const& services);
+
+    /// Takes a change of the catalog.
+    void on_endpoint(endpoint_event const& event, time_point now);
+
+    /// Takes a lease holder's report.
+    void on_status(engine_status const& status, time_point now);
+
+    /// Takes what all other hosts together have in flight at a plain endpoint.
+    void on_others(endpoint_id endpoint, std::uint32_t in_flight);
+
+    /// Takes the newest version of an adapter that was announced.
+    void on_version(std::string const& adapter, std::uint64_t version, time_point now);
+
+    /// Decides about a request. `tried` are endpoints not to be used again.
+    dispatch_decision decide(call const& request, std::span<endpoint_id const> tried,
+                             time_point now);
+
+    /// Notes that a request is being sent to an endpoint.
+    void on_sent(call const& request, endpoint_id endpoint, time_point now);
+
+    /// Notes the first event of a stream's answer.
+    void on_first_event(call const& request, endpoint_id endpoint);
+
+    /// Notes the end of an attempt. `begun` tells whether `on_first_event` was called.
+    void on_ended(call const& request, endpoint_id endpoint, call_end end, bool begun,
+                  time_point now);
+
+    /// Takes the answer to a load that was asked for.
+    void on_load_reply(load_reply const& reply, time_point now);
+
+    /// What this host has in flight at an endpoint; resets the counts of sent requests.
+    std::optional<engine_usage> take_usage(endpoint_id endpoint, time_point now);
+
+    /// What is known of an endpoint, or null.
+    [[nodiscard]] endpoint_load const* find(endpoint_id endpoint) const;
+
+    /// The version that a request for an adapter must run on; zero where any will do.
+    [[nodiscard]] std::uint64_t required_version(std::string const& adapter) const;
+
+    /// Whether any endpoint is known.
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return loads_.empty();
+    }
+
+    /// Endpoints of a service that take requests.
+    [[nodiscard]] std::size_t usable_endpoints(service_id service, time_point now) const;
+
+private:
+    /// One endpoint that could run a request.
+    struct candidate
+    {
+        // The endpoint
+        endpoint_load* load = nullptr;
+        // Expected time to the first byte
+        duration expected{0};
+        // Order of equals, the same on all hosts
+        std::uint64_t rank = 0;
+    };
+
+    // Endpoints that may get a request of the service
+    std::vector<candidate> usable(call const& request, std::span<endpoint_id const> tried,
+                                  time_point now);
+
+    // Decides about a request to a plain service
+    dispatch_decision decide_plain(call const& request, std::vector<candidate> found,
+                                   time_point now);
+
+    // Decides about a request to a model service
+    dispatch_decision decide_model(call const& request, std::vector<candidate> found,
+                                   time_point now);
+
+    // Decides where the adapter has to be loaded first
+    dispatch_decision wait_for_load(call const& request, candidate const* target,
+                                    time_point now);
+
+    // When a load of the request's adapter that was asked for is answered at the latest
+    [[nodiscard]] std::optional<time_point> unanswered_load(call const& request,
+                                                            time_point now) const;
+
+    // Whether the request's adapter is on its way to an engine
+    [[nodiscard]] bool is_coming(call const& request, time_point now) const;
+
+    // The engine that should load an adapter, or null where none can
+    candidate const* load_target(std::string const& adapter,
+                                 std::vector<candidate> const& absent, time_point now);
+
+    // Time until a newcomer's first token, its own prompt excluded
+    [[nodiscard]] duration queue_time(endpoint_load const& load) const;
+
+    // Time to read a prompt at an engine, by the parts that are probably cached there
+    [[nodiscard]] duration prefill_time(call const& request, endpoint_load const& load,
+                                        time_point now) const;
+
+    // Extra time that bad answers of late count
+    [[nodiscard]] static duration failure_cost(endpoint_load const& load,
+                                               duration objective);
+
+    // Belief in an adapter at an engine, or null where it is absent
+    [[nodiscard]] static adapter_belief const* belief(endpoint_load const& load,
+                                                      std::string const& adapter);
+
+    // Takes a refusal just behind the expected end of a load for a load that lasts longer
+    bool delay_arrival(endpoint_load& load, std::string const& adapter, time_point now);
+
+    // A refusal with a pause that differs between callers
+    dispatch_decision refuse(error_kind reason, duration pause);
+
+    // This host's zone
+    zone_id zone_;
+    // Settings
+    dispatch_options options_;
+    // Engines of each model service, by service
+    std::map<service_id, engine_definition> engines_;
+    // Endpoints
+    std::map<endpoint_id, endpoint_load> loads_;
+    // Announced versions by adapter
+    std::map<std::string, std::uint64_t> versions_;
+    // Source of jitter
+    std::minstd_rand random_;
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/dispatch/event_splitter.cpp
@@ -0,0 +1,63 @@
+#include <marjorampath/dispatch/event_splitter.hpp>
+
+#include <charconv>
+
+namespace marjorampath
+{
+
+namespace
+{
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view id_field = "id:";
+
+// The identifier of an event, zero where it has none
+std::uint64_t id_of(std::string_view event)
+{
+    for (std::size_t begin = 0; begin < event.size();)
+    {
+        auto const end = std::min(event.find('\n', begin), event.size());
+        auto line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(id_field))
+            continue;
+        line.remove_prefix(id_field.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        auto const [stop, error] =
+            std::from_chars(line.data(), line.data() + line.size(), id);
+        return error == std::errc{} ? id : 0;
+    }
+    return 0;
+}
+
+} // namespace
+
+bool event_splitter::push(std::string_view bytes, std::string& output)
+{
+    partial_ += bytes;
+    std::size_t begin = 0;
+    for (auto end = partial_.find(event_end); end != std::string::npos;
+         end = partial_.find(event_end, begin))
+    {
+        auto const next = end + event_end.size();
+        take(std::string_view(partial_).substr(begin, next - begin), output);
+        begin = next;
+    }
+    partial_.erase(0, begin);
+    return partial_.size() <= options_.max_event_bytes;
+}
+
+void event_splitter::take(std::string_view event, std::string& output)
+{
+    auto const id = id_of(event);
+    if (id != 0 && id <= last_id_)
+        return;
+    if (id != 0)
+        last_id_ = id;
+    ++passed_;
+    output += event;
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/dispatch/retry_budget.cpp
@@ -0,0 +1,44 @@
+#include <marjorampath/dispatch/retry_budget.hpp>
+
+#include <algorithm>
+
+namespace marjorampath
+{
+
+retry_budget::part& retry_budget::current(time_point now)
+{
+    auto const length = options_.window / static_cast<std::int64_t>(parts);
+    auto const number = now.time_since_epoch() / length;
+    auto& found = parts_.at(static_cast<std::size_t>(number) % parts_.size());
+    if (found.number != number)
+        found = {.number = number};
+    return found;
+}
+
+void retry_budget::on_request(time_point now)
+{
+    ++current(now).requests;
+}
+
+bool retry_budget::take(time_point now, std::size_t hosts)
+{
+    auto& present = current(now);
+    auto const oldest = present.number - static_cast<std::int64_t>(parts);
+    double requests = 0;
+    double repeats = 0;
+    for (auto const& each : parts_)
+    {
+        if (each.number < oldest)
+            continue;
+        requests += each.requests;
+        repeats += each.repeats;
+    }
+    auto const share =
+        options_.extra / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    if (repeats + 1 > options_.used_part * (options_.ratio * requests + share))
+        return false;
+    ++present.repeats;
+    return true;
+}
+
+} // namespace marjorampath
--- a/marjorampath/lease/witness_duty.cpp
+++ b/marjorampath/lease/witness_duty.cpp
@@ -52,7 +52,9 @@
             continue;
 
         // A host that is not acquainted may be older and may not know this one
-        if (!host.acquainted)
+        auto const certainly_younger =
+            host.record.incarnation != 0 && older(own->record, host.record);
+        if (!host.acquainted && (options_.wait_for_younger || !certainly_younger))
             return false;
         if (older(host.record, own->record))
             ++older_hosts;
--- /dev/null
+++ b/marjorampath/peer/engine_usage.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace marjorampath
+{
+
+/// Use of one adapter by one host.
+struct adapter_usage
+{
+    /// `MODEL/ADAPTER`.
+    std::string name;
+    /// Requests in flight.
+    std::uint32_t in_flight = 0;
+    /// Requests sent since the last report.
+    std::uint32_t sent = 0;
+};
+
+/// What one host has in flight at one endpoint.
+struct engine_usage
+{
+    /// The endpoint.
+    endpoint_id endpoint;
+    /// Requests in flight.
+    std::uint32_t in_flight = 0;
+    /// Prompt tokens not yet answered by a first token.
+    std::uint64_t waiting_tokens = 0;
+    /// Tokens of prompts and answers in flight.
+    std::uint64_t tokens = 0;
+    /// Adapters in use; only in reports to the engine's lease holder.
+    std::vector<adapter_usage> adapters;
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/peer/load_messages.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace marjorampath
+{
+
+/// Asks an engine's lease holder for an adapter.
+struct load_request
+{
+    /// The engine.
+    endpoint_id endpoint;
+    /// `MODEL/ADAPTER`.
+    std::string adapter;
+};
+
+/// The lease holder's answer to a `load_request`.
+struct load_reply
+{
+    /// The engine.
+    endpoint_id endpoint;
+    /// `MODEL/ADAPTER`.
+    std::string adapter;
+    /// Whether the adapter is there or on its way.
+    bool accepted = false;
+    /// Time until the load is expected to end.
+    duration ready_in{0};
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/peer/peer_table.cpp
@@ -0,0 +1,168 @@
+#include <marjorampath/peer/peer_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace marjorampath
+{
+
+peer_table::peer_table(peer_beat self, std::vector<peer_address> seeds,
+                       peer_table_options options)
+    : self_(std::move(self)), options_(options)
+{
+    for (auto const& seed : seeds)
+        if (seed != self_.address)
+            addresses_.emplace(seed, time_point::max());
+}
+
+duration peer_table::beat_interval() const
+{
+    auto const hosts = std::max(peers_.size(), options_.small_fleet);
+    return options_.beat_interval * static_cast<std::int64_t>(hosts) /
+           static_cast<std::int64_t>(options_.small_fleet);
+}
+
+duration peer_table::silence() const
+{
+    return beat_interval() * options_.missed_beats;
+}
+
+peer_change peer_table::on_beat(peer_beat beat, time_point now)
+{
+    if (beat.host == self_.host)
+        return peer_change::none;
+
+    // Another host may remember a process of this host that had a later clock
+    auto acquainted = false;
+    for (auto const& mention : beat.mentions)
+    {
+        if (mention.host == self_.host)
+        {
+            if (mention.incarnation > self_.incarnation)
+                self_.incarnation = mention.incarnation + 1;
+            acquainted = mention.incarnation == self_.incarnation;
+        }
+        else if (mention.address != self_.address)
+        {
+            addresses_.try_emplace(mention.address, now + options_.forget_time);
+        }
+    }
+
+    auto const found = peers_.find(beat.host);
+    if (found != peers_.end() && beat.incarnation < found->second.beat.incarnation)
+        return peer_change::none;
+    auto change = peer_change::none;
+    if (found == peers_.end() || silent_.contains(beat.host))
+        change = peer_change::appeared;
+    else if (beat.incarnation > found->second.beat.incarnation)
+        change = peer_change::restarted;
+    else if (beat.leaving && !found->second.beat.leaving)
+        change = peer_change::leaving;
+    if (beat.gone)
+        change = peer_change::gone;
+    silent_.erase(beat.host);
+
+    auto& known = peers_[beat.host];
+    auto const same_process = known.beat.incarnation == beat.incarnation;
+    known.acquainted = acquainted || (known.acquainted && same_process);
+    known.heard_at = now;
+    known.beat = std::move(beat);
+    return change;
+}
+
+std::vector<host_id> peer_table::on_tick(time_point now)
+{
+    std::vector<host_id> lost;
+    for (auto const& [id, known] : peers_)
+        if (!known.beat.gone && now - known.heard_at > silence() &&
+            silent_.emplace(id, true).second)
+            lost.push_back(id);
+    std::erase_if(peers_, [&](auto const& entry)
+                  { return now - entry.second.heard_at > options_.forget_time; });
+    std::erase_if(silent_,
+                  [&](auto const& entry) { return !peers_.contains(entry.first); });
+    std::erase_if(addresses_, [&](auto const& entry) { return entry.second < now; });
+    return lost;
+}
+
+std::optional<host_id> peer_table::host_at(peer_address const& address) const
+{
+    for (auto const& [id, known] : peers_)
+        if (known.beat.address == address)
+            return id;
+    return std::nullopt;
+}
+
+std::vector<peer_address> peer_table::targets(time_point now) const
+{
+    std::vector<peer_address> found;
+    for (auto const& [id, known] : peers_)
+        if (now - known.heard_at <= options_.forget_time)
+            found.push_back(known.beat.address);
+    for (auto const& [address, until] : addresses_)
+        if (!host_at(address))
+            found.push_back(address);
+    return found;
+}
+
+std::vector<peer_mention> peer_table::mentions() const
+{
+    std::vector<peer_mention> found;
+    for (auto const& [id, known] : peers_)
+        if (!known.beat.gone)
+            found.push_back({.host = id,
+                             .incarnation = known.beat.incarnation,
+                             .address = known.beat.address});
+    return found;
+}
+
+std::size_t peer_table::heard_hosts(time_point now) const
+{
+    return 1 + static_cast<std::size_t>(std::count_if(
+                   peers_.begin(), peers_.end(),
+                   [&](auto const& entry) { return heard(entry.first, now); }));
+}
+
+bool peer_table::heard(host_id host, time_point now) const
+{
+    auto const found = peers_.find(host);
+    return found != peers_.end() && !found->second.beat.gone &&
+           now - found->second.heard_at <= silence();
+}
+
+std::vector<known_host> peer_table::known_hosts(time_point now) const
+{
+    std::vector<known_host> found;
+    found.push_back(
+        {.record = {.host = self_.host,
+                    .zone = self_.zone,
+                    .region = {},
+                    .incarnation = self_.incarnation,
+                    .counter = 0,
+                    .state = self_.leaving ? host_state::leaving : host_state::alive},
+         .listed = true,
+         .list_leaving = false,
+         .acquainted = true});
+    for (auto const& [id, known] : peers_)
+    {
+        auto state = host_state::alive;
+        if (known.beat.gone)
+            state = host_state::dead;
+        else if (now - known.heard_at > silence())
+            state = host_state::suspect;
+        else if (known.beat.leaving)
+            state = host_state::leaving;
+        found.push_back({.record = {.host = id,
+                                    .zone = known.beat.zone,
+                                    .region = {},
+                                    .incarnation = known.beat.incarnation,
+                                    .counter = 0,
+                                    .state = state},
+                         .listed = !known.beat.gone,
+                         .list_leaving = known.beat.leaving,
+                         .acquainted = known.acquainted});
+    }
+    return found;
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/peer/peer_table.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/time.hpp>
+#include <marjorampath/membership/known_host.hpp>
+#include <marjorampath/peer/peer_beat.hpp>
+#include <marjorampath/peer/peer_table_options.hpp>
+
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace marjorampath
+{
+
+/// One other host, by its beats.
+struct peer
+{
+    /// Its last beat.
+    peer_beat beat;
+    /// When it came.
+    time_point heard_at;
+    /// Whether its process has named this host's present incarnation.
+    bool acquainted = false;
+};
+
+/// A change of a host that others should hear of.
+enum class peer_change : std::uint8_t
+{
+    /// Nothing worth telling.
+    none,
+    /// It is new, or heard again after a silence.
+    appeared,
+    /// Its process started again.
+    restarted,
+    /// It is shutting down.
+    leaving,
+    /// Its process ended.
+    gone
+};
+
+/// Which hosts there are, found from a few addresses and by what hosts tell of others.
+class peer_table
+{
+public:
+    /// Makes a table that knows this host and the addresses to begin with.
+    peer_table(peer_beat self, std::vector<peer_address> seeds,
+               peer_table_options options);
+
+    /// Takes a beat.
+    peer_change on_beat(peer_beat beat, time_point now);
+
+    /// Forgets hosts that have been silent for long; returns hosts that have just become
+    /// silent.
+    std::vector<host_id> on_tick(time_point now);
+
+    /// Where beats are sent to now: known hosts, and addresses that no host answered at.
+    [[nodiscard]] std::vector<peer_address> targets(time_point now) const;
+
+    /// Hosts that were mentioned, for a beat.
+    [[nodiscard]] std::vector<peer_mention> mentions() const;
+
+    /// All hosts as the lease machines see them, this one included.
+    [[nodiscard]] std::vector<known_host> known_hosts(time_point now) const;
+
+    /// The hosts by identifier.
+    [[nodiscard]] std::map<host_id, peer> const& peers() const noexcept
+    {
+        return peers_;
+    }
+
+    /// Hosts that are heard, this one included.
+    [[nodiscard]] std::size_t heard_hosts(time_point now) const;
+
+    /// Whether a host is heard.
+    [[nodiscard]] bool heard(host_id host, time_point now) const;
+
+    /// The host at an address, or nothing.
+    [[nodiscard]] std::optional<host_id> host_at(peer_address const& address) const;
+
+    /// Time between two beats.
+    [[nodiscard]] duration beat_interval() const;
+
+    /// This host's present incarnation. Rises where another host remembers a higher one.
+    [[nodiscard]] std::uint64_t incarnation() const noexcept
+    {
+        return self_.incarnation;
+    }
+
+    /// Tells that this host is shutting down.
+    void leave() noexcept
+    {
+        self_.leaving = true;
+    }
+
+private:
+    // Time without a beat after which a host counts as silent
+    [[nodiscard]] duration silence() const;
+
+    // This host
+    peer_beat self_;
+    // Addresses to begin with, and ones that were mentioned
+    std::map<peer_address, time_point> addresses_;
+    // Settings
+    peer_table_options options_;
+    // Other hosts
+    std::map<host_id, peer> peers_;
+    // Hosts that were reported as silent
+    std::map<host_id, bool> silent_;
+};
+
+} // namespace marjorampath
--- /dev/null
+++ b/programs/marjorampath-entry/main.cpp
@@ -0,0 +1,69 @@
+#include <serving/entry/entry_node.hpp>
+#include <serving/entry/entry_settings.hpp>
+#include <serving/telemetry/log.hpp>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <platform/users_platform.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace
+{
+
+using namespace marjorampath::serving;
+
+// Exit statuses
+constexpr int exit_fine = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+int report(std::vector<settings_problem> const& problems)
+{
+    for (auto const& problem : problems)
+        fmt::print(stderr, "{}\n", problem.to_string());
+    return exit_bad_settings;
+}
+
+int serve(entry_settings const& settings, std::string const& file)
+{
+    logger::options log;
+    log.output = stdout;
+    log.lines_per_second = settings.log_lines;
+    log.gather_time = std::chrono::milliseconds(100);
+    configure_process_logger(log);
+    entry_node<marjorampath::platform::users_platform> node(
+        settings, [file] { return read_entry_settings_file(file); });
+    if (auto const error = node.listen())
+    {
+        log_event(event::listener_failed, "error", error.message());
+        process_logger().flush();
+        return exit_failed;
+    }
+    node.run();
+    process_logger().flush();
+    return exit_fine;
+}
+
+} // namespace
+
+/// The entry node on the users' platform.
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Entry node of marjorampath on the users' platform", ' ',
+                           "0.1.0");
+    TCLAP::ValueArg<std::string> file("s", "settings", "YAML file with the settings",
+                                      true, "", "FILE", command);
+    TCLAP::SwitchArg check("c", "check", "Only check the settings", command);
+    command.parse(argc, argv);
+
+    auto const read = read_entry_settings_file(file.getValue());
+    if (auto const* problems = std::get_if<std::vector<settings_problem>>(&read))
+        return report(*problems);
+    if (check.getValue())
+        return exit_fine;
+    return serve(std::get<entry_settings>(read), file.getValue());
+}
--- a/programs/marjorampath-standin/engine_orders.cpp
+++ b/programs/marjorampath-standin/engine_orders.cpp
@@ -1,5 +1,5 @@
 #include <programs/marjorampath-standin/engine.hpp>
-#include <serving/platform/http_reader.hpp>
+#include <serving/remote/http_reader.hpp>
 
 #include <boost/asio/use_awaitable.hpp>
 
--- /dev/null
+++ b/schema/peer.capnp
@@ -0,0 +1,91 @@
+@0xb41d7c02f95e6a83;
+# Datagrams between the entry hosts of a deployment that has no host list.
+#
+# Compatibility is as in node.capnp: fields are only ever added, at the end.
+
+using Cxx = import "/capnp/c++.capnp";
+using Node = import "node.capnp";
+$Cxx.namespace("marjorampath::schema");
+
+struct PeerAddress {
+  address @0 :UInt32;
+  port @1 :UInt16;
+}
+
+struct PeerMention {
+  host @0 :UInt64;
+  incarnation @1 :UInt64;
+  address @2 :PeerAddress;
+}
+
+struct AdapterStatus {
+  name @0 :Text;
+  version @1 :UInt64;
+  readyIn @2 :Int64;
+}
+
+struct EngineStatus {
+  endpoint @0 :UInt64;
+  born @1 :UInt64;
+  orderable @2 :Bool;
+  freePlaces @3 :UInt32;
+  inFlight @4 :UInt32;
+  waitingTokens @5 :UInt64;
+  tokens @6 :UInt64;
+  models @7 :List(Text);
+  adapters @8 :List(AdapterStatus);
+}
+
+struct AdapterUsage {
+  name @0 :Text;
+  inFlight @1 :UInt32;
+  sent @2 :UInt32;
+}
+
+struct EngineUsage {
+  endpoint @0 :UInt64;
+  inFlight @1 :UInt32;
+  waitingTokens @2 :UInt64;
+  tokens @3 :UInt64;
+  adapters @4 :List(AdapterUsage);
+}
+
+struct PeerBeat {
+  host @0 :UInt64;
+  zone @1 :UInt64;
+  incarnation @2 :UInt64;
+  address @3 :PeerAddress;
+  leaving @4 :Bool;
+  gone @5 :Bool;
+  deploymentVersion @6 :UInt64;
+  listingRevision @7 :UInt64;
+  listingAge @8 :Int64;
+  transit @9 :UInt32;
+  mentions @10 :List(PeerMention);
+  engines @11 :List(EngineStatus);
+  usage @12 :List(EngineUsage);
+  convictions @13 :List(Node.Conviction);
+}
+
+struct LoadRequest {
+  endpoint @0 :UInt64;
+  adapter @1 :Text;
+}
+
+struct LoadReply {
+  endpoint @0 :UInt64;
+  adapter @1 :Text;
+  accepted @2 :Bool;
+  readyIn @3 :Int64;
+}
+
+struct PeerMessage {
+  union {
+    beat @0 :PeerBeat;
+    leaseRequest @1 :Node.LeaseRequest;
+    leaseReply @2 :Node.LeaseReply;
+    leaseRelease @3 :Node.LeaseRelease;
+    loadRequest @4 :LoadRequest;
+    loadReply @5 :LoadReply;
+  }
+}
--- a/serving/caller/caller_listener.cpp
+++ b/serving/caller/caller_listener.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-caller_listener::caller_listener(traffic_context& context)
+caller_listener::caller_listener(caller_context& context)
     : context_(&context), acceptor_(context.loop), sweep_timer_(context.loop)
 {
 }
--- a/serving/caller/caller_listener.hpp
+++ b/serving/caller/caller_listener.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <serving/node/traffic_context.hpp>
+#include <serving/caller/caller_context.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,7 +22,7 @@
 {
 public:
     /// Makes a listener that does not listen yet. The context outlives it.
-    explicit caller_listener(traffic_context& context);
+    explicit caller_listener(caller_context& context);
     ~caller_listener();
     caller_listener(caller_listener const&) = delete;
     caller_listener& operator=(caller_listener const&) = delete;
@@ -66,7 +66,7 @@
     void forget(std::shared_ptr<caller_session> const& session);
 
     // This thread
-    traffic_context* context_;
+    caller_context* context_;
     // Listening socket
     boost::asio::ip::tcp::acceptor acceptor_;
     // Paces the sweeps
--- a/serving/caller/caller_session.cpp
+++ b/serving/caller/caller_session.cpp
@@ -1,8 +1,5 @@
 #include <serving/caller/caller_session.hpp>
-#include <serving/caller/model_list.hpp>
 #include <serving/clock/boot_time.hpp>
-#include <serving/engine/model_exchange.hpp>
-#include <serving/service/plain_exchange.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,7 +41,7 @@
 
 } // namespace
 
-caller_session::caller_session(tcp::socket socket, traffic_context& context)
+caller_session::caller_session(tcp::socket socket, caller_context& context)
     : socket_(std::move(socket)), context_(&context)
 {
     error_code ignored;
@@ -124,8 +121,8 @@
 
     auto const message = parser.release();
     version_ = message.version();
-    keep_alive_ = message.keep_alive() && !context_->view.stopping;
-    co_await dispatch(message);
+    keep_alive_ = message.keep_alive() && !context_->stopping;
+    co_await context_->answer(*this, message);
     co_return keep_alive_;
 }
 
@@ -180,60 +177,6 @@
             asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, error));
 }
 
-asio::awaitable<void> caller_session::dispatch(caller_message const& message)
-{
-    std::string problem;
-    auto const request = read_caller_request(message, problem);
-    if (!request)
-    {
-        auto reply =
-            make_error_reply({.kind = error_kind::malformed_request, .message = problem});
-        co_await send(std::move(reply));
-        co_return;
-    }
-
-    auto const ready = context_->view.sheet_in_force && !context_->view.stopping;
-    switch (request->route.kind)
-    {
-    case route_kind::health:
-    case route_kind::readiness:
-    {
-        auto const fine = ready || request->route.kind == route_kind::health;
-        caller_answer reply(fine ? http::status::ok : http::status::service_unavailable,
-                            11);
-        reply.set(http::field::content_type, "text/plain");
-        reply.body() = fine ? "ok\n" : "not ready\n";
-        co_await send(std::move(reply));
-        break;
-    }
-    case route_kind::models:
-    {
-        auto reply = make_model_list(context_->view, request->route.service);
-        co_await send(std::move(reply));
-        break;
-    }
-    case route_kind::completions:
-    case route_kind::chat_completions:
-    {
-        model_exchange exchange(*context_, *this, *request);
-        co_await exchange.run();
-        break;
-    }
-    case route_kind::plain:
-    {
-        plain_exchange exchange(*context_, *this, *request);
-        co_await exchange.run();
-        break;
-    }
-    case route_kind::none:
-    {
-        auto reply = make_error_reply({.kind = error_kind::no_such_route, .message = {}});
-        co_await send(std::move(reply));
-        break;
-    }
-    }
-}
-
 void caller_session::set_common_fields(http::fields& fields) const
 {
     fields.set("X-Request-Id", request_name_);
--- a/serving/caller/caller_session.hpp
+++ b/serving/caller/caller_session.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <marjorampath/core/error_kind.hpp>
+#include <serving/caller/caller_context.hpp>
 #include <serving/caller/caller_request.hpp>
 #include <serving/caller/error_reply.hpp>
-#include <serving/node/traffic_context.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,7 +27,7 @@
     using answer_head = boost::beast::http::response<boost::beast::http::empty_body>;
 
     /// Takes over an accepted connection.
-    caller_session(boost::asio::ip::tcp::socket socket, traffic_context& context);
+    caller_session(boost::asio::ip::tcp::socket socket, caller_context& context);
 
     /// Serves the connection until it ends.
     boost::asio::awaitable<void> run();
@@ -103,9 +103,6 @@
     // Answers a request that could not be read
     boost::asio::awaitable<void> reject(boost::system::error_code error);
 
-    // Answers a request
-    boost::asio::awaitable<void> dispatch(caller_message const& message);
-
     // Reads and drops what the caller still sends, so that it can read the answer
     boost::asio::awaitable<void> linger();
 
@@ -121,7 +118,7 @@
     // Connection
     boost::asio::ip::tcp::socket socket_;
     // This thread
-    traffic_context* context_;
+    caller_context* context_;
     // When the connection is closed
     time_point expires_ = never;
     // Bytes read beyond the current request
--- a/serving/caller/exchange_control.cpp
+++ b/serving/caller/exchange_control.cpp
@@ -1,5 +1,4 @@
 #include <serving/caller/exchange_control.hpp>
-#include <serving/node/grant_client.hpp>
 
 #include <utility>
 
@@ -7,9 +6,8 @@
 {
 
 exchange_control::exchange_control(boost::asio::any_io_executor const& executor,
-                                   grant_client& grants,
                                    std::function<void()> unblock_caller)
-    : grants_(&grants), unblock_caller_(std::move(unblock_caller)), timer_(executor)
+    : unblock_caller_(std::move(unblock_caller)), timer_(executor)
 {
 }
 
@@ -36,7 +34,7 @@
     if (connection_)
         connection_->close(ignored);
     if (waiting_)
-        grants_->cancel(waiting_);
+        std::exchange(waiting_, nullptr)();
     if (unblock_caller_)
         unblock_caller_();
 }
@@ -45,6 +43,7 @@
 {
     timer_.cancel();
     unblock_caller_ = nullptr;
+    waiting_ = nullptr;
     connection_ = nullptr;
 }
 
--- a/serving/caller/exchange_control.hpp
+++ b/serving/caller/exchange_control.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <marjorampath/core/error_kind.hpp>
-#include <marjorampath/core/identifier.hpp>
 #include <marjorampath/core/time.hpp>
 #include <serving/endpoint/connection_pool.hpp>
 
@@ -9,12 +8,11 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace marjorampath::serving
 {
 
-class grant_client;
-
 /// Ends an exchange from outside: at its deadline or when the caller goes away. What the
 /// exchange waits for then fails, and it reads the reason here.
 class exchange_control : public std::enable_shared_from_this<exchange_control>
@@ -22,7 +20,7 @@
 public:
     /// Makes the control of one exchange. `unblock_caller` ends a write to the caller
     /// that is under way.
-    exchange_control(boost::asio::any_io_executor const& executor, grant_client& grants,
+    exchange_control(boost::asio::any_io_executor const& executor,
                      std::function<void()> unblock_caller);
 
     /// Ends the exchange when the time is over.
@@ -34,10 +32,10 @@
     /// The exchange is over; nothing is ended from now on.
     void finish();
 
-    /// The exchange waits for this grant.
-    void set_waiting(request_id request) noexcept
+    /// The exchange waits for something that `cancel` ends; nothing where it is empty.
+    void set_waiting(std::function<void()> cancel) noexcept
     {
-        waiting_ = request;
+        waiting_ = std::move(cancel);
     }
 
     /// The exchange uses this connection, or none.
@@ -53,14 +51,12 @@
     }
 
 private:
-    // Grants of this thread
-    grant_client* grants_;
     // Ends a write to the caller
     std::function<void()> unblock_caller_;
     // Fires at the deadline
     boost::asio::steady_timer timer_;
-    // Grant that is waited for
-    request_id waiting_;
+    // Ends what is waited for
+    std::function<void()> waiting_;
     // Connection in use
     endpoint_connection connection_;
     // Why the exchange was ended
--- a/serving/configuration/configuration_client.hpp
+++ b/serving/configuration/configuration_client.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <serving/platform/http_reader.hpp>
+#include <serving/remote/http_reader.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -16,7 +16,7 @@
 /// The result of one read from the configuration service.
 struct configuration_read
 {
-    /// Why there is no value; `platform_error::not_modified` where none newer came.
+    /// Why there is no value; `remote_error::not_modified` where none newer came.
     std::error_code error;
     /// Revision of the value.
     std::uint64_t revision = 0;
--- a/serving/endpoint/answer_reader.cpp
+++ b/serving/endpoint/answer_reader.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-answer_reader::answer_reader(endpoint_connection connection)
-    : connection_(std::move(connection))
+answer_reader::answer_reader(endpoint_connection connection, std::string early)
+    : connection_(std::move(connection)), unparsed_(std::move(early))
 {
     parser_.header_limit(max_answer_head_bytes);
     parser_.body_limit(boost::none);
@@ -69,6 +69,11 @@
 asio::awaitable<error_code> answer_reader::read_head()
 {
     error_code error;
+    if (!unparsed_.empty())
+    {
+        auto const early = std::move(unparsed_);
+        error = parse(early.data(), early.size(), early_);
+    }
     while (!error && !parser_.is_header_done())
         error = co_await read_and_parse(early_);
     co_return error;
--- a/serving/endpoint/answer_reader.hpp
+++ b/serving/endpoint/answer_reader.hpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstddef>
 #include <string>
+#include <utility>
 
 namespace marjorampath::serving
 {
@@ -26,8 +27,15 @@
     /// The head of an answer.
     using head = boost::beast::http::response_header<>;
 
-    /// Reads the next answer on a connection.
-    explicit answer_reader(endpoint_connection connection);
+    /// Reads the next answer on a connection. `early` are bytes of it that were read
+    /// already.
+    explicit answer_reader(endpoint_connection connection, std::string early = {});
+
+    /// The bytes that came behind this answer: the beginning of another one.
+    [[nodiscard]] std::string take_rest()
+    {
+        return std::move(unparsed_);
+    }
 
     /// The answer has no body whatever its head says: it answers a HEAD request.
     void expect_no_body()
--- a/serving/endpoint/connection_pool.cpp
+++ b/serving/endpoint/connection_pool.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <utility>
 
@@ -33,13 +34,14 @@
 {
 }
 
-endpoint_connection connection_pool::take_idle(directory_entry const& endpoint)
+endpoint_connection connection_pool::take_idle(directory_entry const& endpoint,
+                                               duration max_idle)
 {
     auto const found = idle_.find(endpoint.id);
     if (found == idle_.end())
         return nullptr;
 
-    auto const oldest = boot_now() - options_.max_idle_time;
+    auto const oldest = boot_now() - std::min(max_idle, options_.max_idle_time);
     auto& kept = found->second;
     while (!kept.empty())
     {
--- a/serving/endpoint/connection_pool.hpp
+++ b/serving/endpoint/connection_pool.hpp
@@ -38,8 +38,10 @@
     connection_pool(boost::asio::any_io_executor executor,
                     connection_pool_options options);
 
-    /// An idle connection that the endpoint has not closed, or null.
-    endpoint_connection take_idle(directory_entry const& endpoint);
+    /// An idle connection that the endpoint has not closed and that was used within
+    /// `max_idle`, or null.
+    endpoint_connection take_idle(directory_entry const& endpoint,
+                                  duration max_idle = duration::max());
 
     /// Makes a socket that is not connected yet.
     [[nodiscard]] endpoint_connection make_socket() const;
--- /dev/null
+++ b/serving/endpoint/pooled_fetch.cpp
@@ -0,0 +1,86 @@
+#include <serving/endpoint/answer_reader.hpp>
+#include <serving/endpoint/pooled_fetch.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <fmt/format.h>
+
+#include <memory>
+#include <utility>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+// Sends and reads over a connection
+asio::awaitable<void> exchange(endpoint_connection connection,
+                               http::request<http::string_body> const& request,
+                               std::size_t max_body_bytes, pooled_fetch_result& result,
+                               bool& reusable)
+{
+    result.sent = true;
+    auto& error = result.error;
+    co_await http::async_write(*connection, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    answer_reader reader(connection);
+    error = co_await reader.read_head();
+    if (!error)
+        error = co_await reader.read_rest(result.body, max_body_bytes);
+    if (error)
+        co_return;
+    result.status = reader.get_head().result_int();
+    reusable = reader.keep_alive();
+}
+
+} // namespace
+
+asio::awaitable<pooled_fetch_result>
+pooled_fetch(connection_pool& pool, directory_entry endpoint,
+             http::request<http::string_body> request, http_fetch_options options)
+{
+    pooled_fetch_result result;
+    request.set(http::field::host,
+                fmt::format("{}:{}", endpoint.address.address().to_string(),
+                            endpoint.address.port()));
+    request.prepare_payload();
+
+    // The timer closes the connection, whatever it is used for then
+    auto connection = pool.take_idle(endpoint);
+    auto const kept = connection != nullptr;
+    if (!kept)
+        connection = pool.make_socket();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    auto const armed = std::make_shared<bool>(true);
+    timer.expires_after(options.timeout);
+    timer.async_wait(
+        [connection, armed](error_code error)
+        {
+            error_code ignored;
+            if (!error && *armed)
+                connection->close(ignored);
+        });
+
+    auto reusable = false;
+    if (!kept)
+        result.error = co_await connection_pool::connect(connection, endpoint.address);
+    if (!result.error)
+        co_await exchange(connection, request, options.max_body_bytes, result, reusable);
+    *armed = false;
+    if (reusable && !result.error && connection->is_open())
+        pool.put_back(endpoint, std::move(connection));
+    co_return result;
+}
+
+} // namespace marjorampath::serving
--- a/serving/engine/model_exchange.cpp
+++ b/serving/engine/model_exchange.cpp
@@ -94,18 +94,19 @@
 
     idempotent_ =
         !sheet_->is_non_idempotent(contract_->id, "POST", request_->route.target);
-    decision_.emplace(retry_options{.idempotent = idempotent_,
-                                    .resumable = body_.streamed,
-                                    .max_attempts = context_->limits.max_attempts});
+    decision_.emplace(
+        retry_options{.idempotent = idempotent_,
+                      .resumable = body_.streamed,
+                      .max_attempts = context_->callers.limits.max_attempts});
     events_ = event_stream({.keep_text = idempotent_ && body_.continuable});
 
     // The exchange ends at its deadline or with its caller
-    auto const time_left = std::min<duration>(
-        request_->deadline.value_or(contract_->deadline), context_->limits.max_deadline);
+    auto const time_left =
+        std::min<duration>(request_->deadline.value_or(contract_->deadline),
+                           context_->callers.limits.max_deadline);
     deadline_ = boot_now() + time_left;
     auto* session = session_;
-    control_ = std::make_shared<exchange_control>(context_->loop.get_executor(),
-                                                  context_->grants,
+    control_ = std::make_shared<exchange_control>(context_->callers.loop.get_executor(),
                                                   [session] { session->cancel_write(); });
     control_->start_deadline(time_left);
     session_->watch([control = control_] { control->abort(error_kind::caller_gone); });
@@ -142,7 +143,7 @@
 
 asio::awaitable<retry_step> model_exchange::ask_grant()
 {
-    attempt_ = context_->next_request_id();
+    attempt_ = context_->callers.next_request_id();
     endpoint_.reset();
     grant_request question{
         .request = attempt_,
@@ -163,9 +164,9 @@
         .max_tokens = body_.max_tokens,
         .sheet_number = sheet_->number(),
     };
-    control_->set_waiting(attempt_);
+    control_->set_waiting([this, asked = attempt_] { context_->grants.cancel(asked); });
     auto const reply = co_await context_->grants.request(question);
-    control_->set_waiting({});
+    control_->set_waiting(nullptr);
 
     if (auto const* refusal = std::get_if<refuse_action>(&reply))
     {
@@ -356,8 +357,8 @@
 model_exchange::relay_whole(answer_reader& reader)
 {
     std::string document;
-    auto const error =
-        co_await reader.read_rest(document, context_->limits.max_whole_answer_bytes);
+    auto const error = co_await reader.read_rest(
+        document, context_->callers.limits.max_whole_answer_bytes);
     if (error || !reader.is_framed())
         co_return cut(error_kind::endpoint_lost, false);
 
--- /dev/null
+++ b/serving/entry/entry_context.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <marjorampath/deployment/route_table.hpp>
+#include <marjorampath/dispatch/dispatcher.hpp>
+#include <marjorampath/dispatch/retry_budget.hpp>
+#include <marjorampath/suspect/suspect_registry.hpp>
+#include <serving/caller/caller_context.hpp>
+#include <serving/endpoint/connection_pool.hpp>
+#include <serving/entry/entry_metrics.hpp>
+#include <serving/entry/lost_attempts.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace marjorampath::serving
+{
+
+/// Times of the exchanges with endpoints.
+struct entry_times
+{
+    /// Time within which a connection to an endpoint must stand: several times the way to
+    /// another zone and back, and a lost packet.
+    duration connect_timeout = std::chrono::milliseconds(450);
+    /// Part of its objective after which an idempotent request without an answer goes to
+    /// another endpoint too.
+    double second_send_part = 0.8;
+    /// Least time before that.
+    duration least_second_send = std::chrono::milliseconds(150);
+    /// Pause that a caller is told whose request could not be sent once more.
+    duration retry_pause = std::chrono::milliseconds(800);
+    /// Idle time up to which a connection carries a request that is not idempotent.
+    duration fresh_idle = std::chrono::milliseconds(1'500);
+};
+
+/// What the exchanges of an entry host share.
+struct entry_context
+{
+    /// What the callers' connections share.
+    caller_context callers;
+    /// Times.
+    entry_times times;
+    /// Routes in force, or null.
+    std::shared_ptr<route_table const> routes;
+    /// Decides about requests.
+    dispatcher dispatch;
+    /// Kept connections to endpoints.
+    connection_pool connections;
+    /// Bounds of repeated sends, by service.
+    std::map<service_id, retry_budget> budgets;
+    /// Requests that crash endpoints.
+    suspect_registry suspects;
+    /// Attempts that may have crashed their endpoint.
+    lost_attempts lost;
+    /// What is counted.
+    entry_metrics metrics;
+    /// Asks an engine's lease holder for a load.
+    std::function<void(load_wish const&)> ask_load;
+    /// Hosts that share the bounds.
+    std::function<std::size_t()> hosts;
+    /// Timers of the exchanges that wait for an adapter, by its name.
+    std::multimap<std::string, boost::asio::steady_timer*> awaiting;
+
+    /// Wakes the exchanges that wait for an adapter.
+    void wake(std::string const& adapter)
+    {
+        auto const [begin, end] = awaiting.equal_range(adapter);
+        for (auto each = begin; each != end; ++each)
+            each->second->cancel();
+    }
+};
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/entry/entry_fleet.cpp
@@ -0,0 +1,343 @@
+#include <serving/clock/boot_time.hpp>
+#include <serving/entry/entry_fleet.hpp>
+#include <serving/telemetry/log.hpp>
+
+#include <utility>
+#include <variant>
+
+namespace marjorampath::serving
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+// Time between two runs of the lease machines; they want one every 50 ms
+constexpr auto tick_interval = std::chrono::milliseconds(50);
+// Time for which a host's word that it holds a lease is believed: five beats
+constexpr duration holder_memory = std::chrono::milliseconds(1'000);
+
+udp::endpoint to_udp(peer_address const& address)
+{
+    return {asio::ip::address_v4(address.address), address.port};
+}
+
+// Leases take the fleet as one zone: its hosts are few, and zones may have a single one
+zone_id lease_zone()
+{
+    static auto const zone = zone_id::of("fleet");
+    return zone;
+}
+
+resource_id resource_of(endpoint_id engine)
+{
+    return resource_id(engine.number());
+}
+
+endpoint_id engine_of(resource_id resource)
+{
+    return endpoint_id(resource.number());
+}
+
+lease_options with_zone(lease_options options)
+{
+    options.zones = {lease_zone()};
+    return options;
+}
+
+} // namespace
+
+entry_fleet::entry_fleet(asio::io_context& loop, entry_fleet_options options,
+                         entry_fleet_events events)
+    : options_(std::move(options)), events_(std::move(events)), socket_(loop),
+      timer_(loop), peers_(options_.self, options_.seeds, options_.peers),
+      holder_(options_.self.host, with_zone(options_.leases)),
+      witness_(options_.self.host, with_zone(options_.leases)),
+      duty_(with_zone(options_.leases))
+{
+}
+
+error_code entry_fleet::open()
+{
+    error_code error;
+    socket_.open(udp::v4(), error);
+    if (!error)
+        socket_.bind(to_udp(options_.self.address), error);
+    if (!error)
+        socket_.non_blocking(true, error);
+    if (error)
+        return error;
+    receive();
+    tick();
+    return {};
+}
+
+void entry_fleet::receive()
+{
+    socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                               [this](error_code error, std::size_t size)
+                               {
+                                   if (error == asio::error::operation_aborted)
+                                       return;
+                                   if (!error)
+                                       take(std::string_view(buffer_.data(), size));
+                                   if (socket_.is_open())
+                                       receive();
+                               });
+}
+
+void entry_fleet::take(std::string_view bytes)
+{
+    auto message = decode_peer_message(bytes);
+    if (!message)
+        return;
+    std::visit([this](auto& each) { take(std::move(each)); }, *message);
+}
+
+void entry_fleet::take(peer_beat beat)
+{
+    auto const now = boot_now();
+    auto const host = beat.host;
+    auto const change = peers_.on_beat(beat, now);
+    for (auto const& engine : beat.engines)
+        holders_[engine.endpoint] = {host, now};
+    switch (change)
+    {
+    case peer_change::none:
+        break;
+    case peer_change::appeared:
+    case peer_change::restarted:
+        log_event(event::member_alive, "host", host, "incarnation", beat.incarnation,
+                  "hosts", peers_.heard_hosts(now));
+        break;
+    case peer_change::leaving:
+    case peer_change::gone:
+        log_event(event::member_left, "host", host, "gone", beat.gone);
+        break;
+    }
+    if (change != peer_change::none)
+        update_hosts(now);
+    events_.on_beat(beat);
+}
+
+void entry_fleet::take(lease_request const& request)
+{
+    send(judge(request), request.holder);
+}
+
+void entry_fleet::take(lease_reply const& reply)
+{
+    lease_actions actions;
+    holder_.on_reply(boot_now(), wall_now(), reply, actions);
+    carry_out(actions);
+}
+
+void entry_fleet::take(lease_release const& release)
+{
+    auto const now = boot_now();
+    witness_.on_release(now, release);
+    if (release.successor == options_.self.host)
+        holder_.on_offer(now, release);
+}
+
+void entry_fleet::take(load_request const& request)
+{
+    auto const reply = events_.on_load_request(request);
+    send(reply, peer_address{sender_.address().to_v4().to_uint(), sender_.port()});
+}
+
+void entry_fleet::take(load_reply const& reply)
+{
+    events_.on_load_reply(reply);
+}
+
+lease_reply entry_fleet::judge(lease_request const& request)
+{
+    return witness_.on_request(boot_now(), request, peers_.incarnation(), duty_);
+}
+
+void entry_fleet::update_hosts(time_point now)
+{
+    auto hosts = peers_.known_hosts(now);
+    for (auto& host : hosts)
+        host.record.zone = lease_zone();
+    duty_.update(now, options_.self.host, hosts);
+    holder_.set_hosts(hosts, peers_.incarnation());
+}
+
+void entry_fleet::tick()
+{
+    auto const now = boot_now();
+
+    // The others may have taken this host for gone
+    if (last_tick_ && now - *last_tick_ > options_.peers.forget_time / 2)
+        duty_.reset();
+    if (last_tick_ && now - *last_tick_ > options_.leases.tick_gap)
+        log_event(event::pause_detected, "gap_ms",
+                  (now - *last_tick_).count() / 1'000'000);
+    last_tick_ = now;
+
+    if (now >= next_beat_)
+    {
+        for (auto const host : peers_.on_tick(now))
+            log_event(event::member_suspected, "host", host);
+        update_hosts(now);
+        witness_.forget_old(now);
+        beat();
+        next_beat_ = now + peers_.beat_interval();
+    }
+    lease_actions actions;
+    holder_.on_tick(now, wall_now(), actions);
+    carry_out(actions);
+
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+                tick();
+        });
+}
+
+peer_beat entry_fleet::make_beat(time_point /*now*/) const
+{
+    auto beat = options_.self;
+    beat.incarnation = peers_.incarnation();
+    beat.gone = gone_;
+    beat.mentions = peers_.mentions();
+    events_.fill(beat);
+    return beat;
+}
+
+void entry_fleet::beat()
+{
+    auto const now = boot_now();
+    auto const common = make_beat(now);
+    for (auto const& address : peers_.targets(now))
+    {
+        auto own = common;
+        if (auto const host = peers_.host_at(address))
+            events_.fill_for(own, *host);
+        send(own, address);
+    }
+}
+
+void entry_fleet::set_engines(std::vector<endpoint_id> const& engines)
+{
+    std::vector<leased_resource> resources;
+    for (auto const engine : engines)
+        resources.push_back({.resource = resource_of(engine), .zone = {}});
+    lease_actions actions;
+    holder_.set_resources(boot_now(), resources, actions);
+    carry_out(actions);
+}
+
+host_id entry_fleet::holder_of(endpoint_id engine) const
+{
+    if (holder_.may_order(resource_of(engine), boot_now()))
+        return options_.self.host;
+    auto const found = holders_.find(engine);
+    if (found == holders_.end() || boot_now() - found->second.at > holder_memory)
+        return {};
+    return found->second.host;
+}
+
+void entry_fleet::ask_load(load_request const& request)
+{
+    auto const holder = holder_of(request.endpoint);
+    if (!holder)
+        return events_.on_load_reply(
+            {.endpoint = request.endpoint, .adapter = request.adapter});
+    if (holder == options_.self.host)
+        return events_.on_load_reply(events_.on_load_request(request));
+    send(request, holder);
+}
+
+std::optional<std::uint64_t> entry_fleet::may_order(endpoint_id engine) const
+{
+    return holder_.may_order(resource_of(engine), boot_now());
+}
+
+void entry_fleet::on_fenced(endpoint_id engine, std::uint64_t number)
+{
+    holder_.on_fencing_refused(boot_now(), wall_now(), resource_of(engine), number);
+}
+
+void entry_fleet::carry_out(lease_actions const& actions)
+{
+    for (auto const& action : actions)
+        std::visit([this](auto const& each) { carry_out(each); }, action);
+}
+
+void entry_fleet::carry_out(send_lease_request const& action)
+{
+    if (action.to == options_.self.host)
+        return take(judge(action.request));
+    send(action.request, action.to);
+}
+
+void entry_fleet::carry_out(send_lease_release const& action)
+{
+    if (action.to == options_.self.host)
+        return take(action.release);
+    send(action.release, action.to);
+}
+
+void entry_fleet::carry_out(lease_acquired const& action)
+{
+    auto& last = last_numbers_[action.resource];
+    auto const continued = last != 0 && action.previous_number == last;
+    last = action.fencing_number;
+    log_event(event::lease_gained, "resource", action.resource, "number",
+              action.fencing_number, "continued", continued);
+    events_.on_acquired(engine_of(action.resource), action.fencing_number, continued);
+}
+
+void entry_fleet::carry_out(lease_lost const& action)
+{
+    log_event(event::lease_lost, "resource", action.resource, "reason",
+              static_cast<int>(action.reason));
+    events_.on_lost(engine_of(action.resource));
+}
+
+void entry_fleet::send(peer_message const& message, peer_address const& to)
+{
+    if (!socket_.is_open())
+        return;
+    auto const bytes = encode_peer_message(message);
+    error_code error;
+
+    // A datagram that cannot be sent is as good as lost; all of them come again
+    socket_.send_to(asio::buffer(bytes), to_udp(to), 0, error);
+}
+
+void entry_fleet::send(peer_message const& message, host_id to)
+{
+    auto const found = peers_.peers().find(to);
+    if (found != peers_.peers().end())
+        send(message, found->second.beat.address);
+}
+
+void entry_fleet::leave()
+{
+    options_.self.leaving = true;
+    peers_.leave();
+    lease_actions actions;
+    holder_.leave(boot_now(), actions);
+    carry_out(actions);
+    beat();
+}
+
+void entry_fleet::close()
+{
+    gone_ = true;
+    beat();
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/entry/entry_fleet.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <marjorampath/lease/lease_action.hpp>
+#include <marjorampath/lease/lease_holder.hpp>
+#include <marjorampath/lease/lease_witness.hpp>
+#include <marjorampath/lease/witness_duty.hpp>
+#include <marjorampath/peer/load_messages.hpp>
+#include <marjorampath/peer/peer_table.hpp>
+#include <serving/entry/peer_codec.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace marjorampath::serving
+{
+
+/// How an entry host takes part in its fleet.
+struct entry_fleet_options
+{
+    /// This host, without what changes.
+    peer_beat self;
+    /// Addresses to begin with.
+    std::vector<peer_address> seeds;
+    /// Leases.
+    lease_options leases;
+    /// Beats.
+    peer_table_options peers;
+};
+
+/// What an entry host does with what its fleet tells. Called on the host's thread.
+struct entry_fleet_events
+{
+    /// Adds what this host tells all others to a beat.
+    std::function<void(peer_beat&)> fill;
+    /// Adds what this host tells one other to a beat.
+    std::function<void(peer_beat&, host_id)> fill_for;
+    /// Takes another host's beat.
+    std::function<void(peer_beat const&)> on_beat;
+    /// Decides about an adapter that another host asks for.
+    std::function<load_reply(load_request const&)> on_load_request;
+    /// Takes the answer to a load that this host asked for.
+    std::function<void(load_reply const&)> on_load_reply;
+    /// This host holds an engine's lease; the flag tells that nobody else did since.
+    std::function<void(endpoint_id, std::uint64_t, bool)> on_acquired;
+    /// This host holds an engine's lease no longer.
+    std::function<void(endpoint_id)> on_lost;
+};
+
+/// Joins an entry host to the others by datagrams: beats, leases and load requests.
+class entry_fleet
+{
+public:
+    /// Makes a host that has not joined.
+    entry_fleet(boost::asio::io_context& loop, entry_fleet_options options,
+                entry_fleet_events events);
+
+    /// Opens the socket and starts.
+    boost::system::error_code open();
+
+    /// Sets the engines whose leases this host may hold.
+    void set_engines(std::vector<endpoint_id> const& engines);
+
+    /// Asks an engine's lease holder for an adapter; answered by `on_load_reply`, or not
+    /// at all where a datagram is lost.
+    void ask_load(load_request const& request);
+
+    /// The fencing number for an order to an engine, right before it is written.
+    [[nodiscard]] std::optional<std::uint64_t> may_order(endpoint_id engine) const;
+
+    /// Chooses a higher fencing number after an engine's refusal.
+    void on_fenced(endpoint_id engine, std::uint64_t number);
+
+    /// Hands over all leases and tells the others.
+    void leave();
+
+    /// Tells the others that the process ends, and ends all work.
+    void close();
+
+    /// The hosts.
+    [[nodiscard]] peer_table const& peers() const noexcept
+    {
+        return peers_;
+    }
+
+    /// The host that holds an engine's lease, as far as it told; empty for none.
+    [[nodiscard]] host_id holder_of(endpoint_id engine) const;
+
+private:
+    // Largest datagram
+    static constexpr std::size_t max_datagram = 65'507;
+
+    // Who told last that it holds an engine's lease
+    struct told_holder
+    {
+        // The host
+        host_id host;
+        // When
+        time_point at;
+    };
+
+    // Waits for the next datagram
+    void receive();
+    // Takes a datagram
+    void take(std::string_view bytes);
+    // Takes one kind of message
+    void take(peer_beat beat);
+    void take(lease_request const& request);
+    void take(lease_reply const& reply);
+    void take(lease_release const& release);
+    void take(load_request const& request);
+    void take(load_reply const& reply);
+    // Runs the lease machines and beats
+    void tick();
+    // Sends beats to all hosts
+    void beat();
+    // Tells the lease machines which hosts there are
+    void update_hosts(time_point now);
+    // Carries out what the lease holder decided
+    void carry_out(lease_actions const& actions);
+    void carry_out(send_lease_request const& action);
+    void carry_out(send_lease_release const& action);
+    void carry_out(lease_acquired const& action);
+    void carry_out(lease_lost const& action);
+    // Answers a host's question for leases
+    lease_reply judge(lease_request const& request);
+    // Sends a message to an address, or to a host
+    void send(peer_message const& message, peer_address const& to);
+    void send(peer_message const& message, host_id to);
+    // The beat of this host
+    [[nodiscard]] peer_beat make_beat(time_point now) const;
+
+    // Settings
+    entry_fleet_options options_;
+    // What is done with what comes
+    entry_fleet_events events_;
+    // Socket
+    boost::asio::ip::udp::socket socket_;
+    // Paces the ticks
+    boost::asio::steady_timer timer_;
+    // Sender of the present datagram
+    boost::asio::ip::udp::endpoint sender_;
+    // Bytes of the present datagram
+    std::array<char, max_datagram> buffer_;
+    // Other hosts
+    peer_table peers_;
+    // Leases of this host
+    lease_holder holder_;
+    // Leases that this host granted
+    lease_witness witness_;
+    // Whether it may grant
+    witness_duty duty_;
+    // Last fencing number used for each engine
+    std::map<resource_id, std::uint64_t> last_numbers_;
+    // Holders of leases as told
+    std::map<endpoint_id, told_holder> holders_;
+    // Time of the next beat
+    time_point next_beat_;
+    // Time of the last tick
+    std::optional<time_point> last_tick_;
+    // Whether the process is about to end
+    bool gone_ = false;
+};
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/entry/entry_node.inl
@@ -0,0 +1,674 @@
+namespace marjorampath::serving
+{
+
+template <entry_platform Platform>
+entry_node<Platform>::entry_node(entry_settings settings,
+                                 std::function<entry_settings_or_problems()> reload)
+    : settings_(std::move(settings)), reload_(std::move(reload)), signals_(loop_),
+      stop_timer_(loop_), grace_timer_(loop_), chore_timer_(loop_), listing_timer_(loop_),
+      watch_timer_(loop_), context_(make_context()),
+      service_context_{
+          .loop = loop_,
+          .limits = {},
+          .answer = [this](caller_session& session, caller_message const& message)
+          { return answer_service(session, message); }},
+      callers_(context_.callers), readiness_(service_context_), relay_(service_context_),
+      metrics_listener_(service_context_),
+      source_(loop_.get_executor(), {.server = settings_.store}),
+      order_connections_(loop_.get_executor(), {}),
+      engines_(order_connections_, settings_.host), catalog_({}),
+      planner_({.quiet_time = settings_.order_quiet + std::chrono::milliseconds(100)}),
+      fleet_(loop_, make_fleet_options(), make_fleet_events())
+{
+}
+
+template <entry_platform Platform>
+entry_context entry_node<Platform>::make_context()
+{
+    // Callers' connections and the ones to endpoints share the descriptors
+    auto const connections = static_cast<std::size_t>(settings_.descriptors) / 2;
+    auto const seed = hash_combine(hash_bytes(settings_.host),
+                                   static_cast<std::uint64_t>(wall_now().count()));
+    return {.callers = {.loop = loop_,
+                        .limits = {.max_connections = connections},
+                        .answer =
+                            [this](caller_session& session, caller_message const& message)
+                        {
+                            // The exchange lives as long as the coroutine
+                            return [](entry_context& context, caller_session& caller,
+                                      caller_message const& request)
+                                       -> boost::asio::awaitable<void>
+                            {
+                                entry_exchange<typename Platform::dialect> exchange(
+                                    context, caller, request);
+                                co_await exchange.run();
+                            }(context_, session, message);
+                        },
+                        .request_seed = seed},
+            .times = {},
+            .routes = nullptr,
+            .dispatch = dispatcher(zone_id::of(settings_.zone), {.seed = seed}),
+            .connections =
+                connection_pool(loop_.get_executor(), {.max_idle = connections / 2}),
+            .budgets = {},
+            .suspects = suspect_registry({}),
+            .lost = {},
+            .metrics = {metrics_.make_shard()},
+            .ask_load =
+                [this](load_wish const& wish)
+            {
+                log_event(event::load_asked, "endpoint", wish.endpoint, "adapter",
+                          wish.adapter, "holder", fleet_.holder_of(wish.endpoint));
+                context_.metrics.shard.number(loads_metric).add();
+                fleet_.ask_load({.endpoint = wish.endpoint, .adapter = wish.adapter});
+            },
+            .hosts = [this] { return fleet_.peers().heard_hosts(boot_now()); },
+            .awaiting = {}};
+}
+
+template <entry_platform Platform>
+entry_fleet_options entry_node<Platform>::make_fleet_options() const
+{
+    entry_fleet_options options{
+        .self = {.host = host_id::of(settings_.host),
+                 .zone = zone_id::of(settings_.zone),
+                 .incarnation = static_cast<std::uint64_t>(wall_now().count()),
+                 .address = settings_.peers},
+        .seeds = {},
+        .leases = {.term = std::chrono::milliseconds(1'200),
+                   .renew_interval = std::chrono::milliseconds(350),
+                   .settle = std::chrono::milliseconds(1'400),
+                   .rebalance_delay = std::chrono::minutes(10),
+                   .zones = {},
+                   .witnesses_per_zone = settings_.witnesses,
+                   .wait_for_younger = false},
+        .peers = {}};
+    for (auto const& seed : settings_.seeds)
+        if (seed.address().is_v4())
+            options.seeds.push_back(
+                {seed.address().to_v4().to_uint(), settings_.peers.port});
+    return options;
+}
+
+template <entry_platform Platform>
+entry_fleet_events entry_node<Platform>::make_fleet_events()
+{
+    return {
+        .fill = [this](peer_beat& beat) { fill(beat); },
+        .fill_for = [this](peer_beat& beat, host_id to) { fill_for(beat, to); },
+        .on_beat = [this](peer_beat const& beat) { on_beat(beat); },
+        .on_load_request = [this](load_request const& request)
+        { return on_load_request(request); },
+        .on_load_reply = [this](load_reply const& reply) { on_load_reply(reply); },
+        .on_acquired = [this](endpoint_id engine, std::uint64_t number, bool continued)
+        { planner_.on_lease(engine, number, continued, boot_now()); },
+        .on_lost = [this](endpoint_id engine) { planner_.on_lease_lost(engine); }};
+}
+
+template <entry_platform Platform>
+boost::system::error_code entry_node<Platform>::listen()
+{
+    auto error = callers_.listen(settings_.callers);
+    if (!error)
+        error = readiness_.listen(settings_.readiness);
+    if (!error)
+        error = relay_.listen(settings_.relay);
+    if (!error && settings_.metrics)
+        error = metrics_listener_.listen(*settings_.metrics);
+    if (!error)
+        error = fleet_.open();
+    return error;
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::run()
+{
+    namespace asio = boost::asio;
+    log_event(event::node_started, "host", settings_.host, "zone", settings_.zone,
+              "seeds", settings_.seeds.size());
+    watch_signals();
+    callers_.start();
+    readiness_.start();
+    relay_.start();
+    if (settings_.metrics)
+        metrics_listener_.start();
+    asio::co_spawn(loop_, keep_listing(), asio::detached);
+    asio::co_spawn(loop_, watch_operator(), asio::detached);
+    chores();
+    loop_.run();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::watch_signals()
+{
+    boost::system::error_code ignored;
+    signals_.add(SIGTERM, ignored);
+    signals_.add(SIGINT, ignored);
+    signals_.add(SIGHUP, ignored);
+    signals_.async_wait(
+        [this](boost::system::error_code error, int signal)
+        {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                shut_down();
+            watch_signals();
+        });
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::reload()
+{
+    auto read = reload_();
+    if (auto const* problems = std::get_if<std::vector<settings_problem>>(&read))
+    {
+        for (auto const& problem : *problems)
+            log_event(event::settings_rejected, "problem", problem.to_string());
+        return;
+    }
+
+    // Addresses hold for the life of the process; the bounds can change
+    auto const& fresh = std::get<entry_settings>(read);
+    settings_.grace = fresh.grace;
+    settings_.retry_ratio = fresh.retry_ratio;
+    settings_.retry_extra = fresh.retry_extra;
+    if (context_.routes)
+        for (auto& [service, budget] : context_.budgets)
+            budget.set_options({.ratio = settings_.retry_ratio,
+                                .window = settings_.retry_window,
+                                .extra = settings_.retry_extra});
+    auto const moved =
+        fresh.callers != settings_.callers || fresh.store != settings_.store;
+    log_event(event::settings_reloaded, "needs_restart", moved);
+}
+
+template <entry_platform Platform>
+bool entry_node<Platform>::ready() const
+{
+    return !stopping_ && context_.routes && !context_.dispatch.empty();
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void>
+entry_node<Platform>::answer_service(caller_session& session,
+                                     caller_message const& message)
+{
+    namespace http = boost::beast::http;
+    auto const target = message.target();
+    std::string_view const path(target.data(), target.size());
+    caller_answer answer(http::status::ok, 11);
+    if (path == settings_.readiness_path)
+    {
+        if (ready() != was_ready_)
+        {
+            was_ready_ = ready();
+            log_event(event::node_ready, "ready", was_ready_);
+        }
+        if (!was_ready_)
+            answer.result(http::status::service_unavailable);
+    }
+    else if (path == "/relay/endpoints")
+    {
+        answer.body() = relayed_listing_;
+    }
+    else if (path == "/relay/operator")
+    {
+        answer.body() = source_.relay_operator();
+    }
+    else if (path == "/metrics")
+    {
+        answer.body() = metrics_.exposition();
+    }
+    else
+    {
+        answer.result(http::status::not_found);
+    }
+    co_await session.send(std::move(answer));
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::keep_listing()
+{
+    boost::system::error_code ignored;
+    while (!finished_)
+    {
+        auto listing = co_await source_.read_endpoints();
+        if (finished_)
+            break;
+        note_store(listing.error);
+        auto const failed = static_cast<bool>(listing.error);
+        if (!failed)
+            take_listing(std::move(listing), "store");
+        listing_timer_.expires_after(failed ? times_.read_pause
+                                            : times_.listing_interval);
+        co_await listing_timer_.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::note_store(std::error_code error)
+{
+    if (error && store_known_)
+        log_event(event::store_unreachable, "error", error.message(), "revision",
+                  catalog_.revision());
+    if (!error && !store_known_)
+        log_event(event::store_reachable, "revision", catalog_.revision());
+    store_known_ = !error;
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::watch_operator()
+{
+    boost::system::error_code ignored;
+    while (!finished_)
+    {
+        operator_news news;
+        if (watched_revision_ == 0)
+            news = co_await source_.read_operator();
+        else
+            news = co_await source_.watch_operator(watched_revision_, times_.watch_wait);
+        if (finished_)
+            break;
+        if (!news.error)
+        {
+            watched_revision_ = news.revision;
+            take_news(news, "store");
+            continue;
+        }
+
+        // Whatever failed, the history may be gone: read all of it again
+        watched_revision_ = 0;
+        watch_timer_.expires_after(times_.read_pause);
+        co_await watch_timer_.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::take_news(operator_news const& news, std::string_view source)
+{
+    for (auto const& key : news.ignored)
+        log_event(event::deployment_ignored, "key", key, "source", source);
+    if (news.configuration)
+        take_configuration(news.configuration, source);
+    auto const now = boot_now();
+    for (auto const& version : news.versions)
+    {
+        if (context_.dispatch.required_version(version.adapter) >= version.version)
+            continue;
+        log_event(event::version_announced, "adapter", version.adapter, "version",
+                  version.version, "source", source);
+        context_.dispatch.on_version(version.adapter, version.version, now);
+        planner_.on_version(version.adapter, version.version);
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::take_configuration(
+    std::shared_ptr<deployment const> const& configuration, std::string_view source)
+{
+    // An older one never comes back into force
+    if (context_.routes && context_.routes->source().version >= configuration->version)
+        return;
+    log_event(event::deployment_accepted, "version", configuration->version, "routes",
+              configuration->routes.size(), "source", source);
+    context_.routes = std::make_shared<route_table const>(configuration);
+    context_.dispatch.set_services(configuration->services);
+    planner_.set_services(configuration->services);
+    auto& limits = context_.callers.limits;
+    limits.max_head_bytes = configuration->bounds.max_head_bytes;
+    limits.max_body_bytes = configuration->bounds.max_body_bytes;
+    limits.idle_timeout = configuration->bounds.idle_timeout;
+    for (auto const& service : configuration->services)
+        context_.budgets.try_emplace(
+            service.id, retry_budget_options{.ratio = settings_.retry_ratio,
+                                             .window = settings_.retry_window,
+                                             .extra = settings_.retry_extra});
+    update_engines();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::take_listing(endpoint_listing listing, std::string_view source)
+{
+    auto const now = boot_now();
+    for (auto const& key : listing.ignored)
+        log_event(event::store_entry_ignored, "key", key, "revision", listing.revision);
+    if (listing.revision >= catalog_.revision())
+        relayed_listing_ = std::move(listing.relayed);
+    auto const changes =
+        catalog_.take_listing(now, listing.revision, std::move(listing.endpoints));
+    for (auto const& change : changes)
+    {
+        auto const& endpoint = change.endpoint;
+        if (change.change != endpoint_change::updated)
+            log_event(change.change == endpoint_change::appeared
+                          ? event::endpoint_appeared
+                          : (change.change == endpoint_change::restarted
+                                 ? event::endpoint_restarted
+                                 : (change.change == endpoint_change::draining
+                                        ? event::endpoint_leaving
+                                        : event::endpoint_lost)),
+                      "endpoint", endpoint.name, "address", endpoint.address, "port",
+                      endpoint.port, "revision", listing.revision, "source", source);
+        if (change.change == endpoint_change::restarted ||
+            (change.change == endpoint_change::gone && !endpoint.draining))
+            for (auto const content :
+                 context_.suspects.on_crash(now, wall_now(), endpoint.id, endpoint.born))
+                log_event(event::request_suspected, "content", content, "endpoint",
+                          endpoint.name);
+        context_.dispatch.on_endpoint(change, now);
+        planner_.on_endpoint(change, now);
+    }
+    update_engines();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::update_engines()
+{
+    if (!context_.routes)
+        return;
+    std::set<endpoint_id> engines;
+    for (auto const& [id, endpoint] : catalog_.endpoints())
+    {
+        auto const* service = context_.routes->source().find_service(endpoint.service);
+        if (service && service->engine && !endpoint.draining)
+            engines.insert(id);
+    }
+    if (engines == known_engines_)
+        return;
+    known_engines_ = std::move(engines);
+    fleet_.set_engines({known_engines_.begin(), known_engines_.end()});
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<std::string> entry_node<Platform>::read_relay(peer_address peer,
+                                                                     std::string path)
+{
+    namespace http = boost::beast::http;
+    http::request<http::string_body> request(http::verb::get, path, 11);
+    boost::asio::ip::tcp::endpoint const address{
+        boost::asio::ip::address_v4(peer.address), settings_.relay.port()};
+    http_fetch_options const options{.timeout = times_.read_pause,
+                                     .max_body_bytes = max_relayed_bytes};
+    auto const fetched = co_await http_fetch(address, std::move(request), options);
+    if (fetched.error || fetched.answer.result() != http::status::ok)
+        co_return std::string();
+    co_return fetched.answer.body();
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::relay_view()
+{
+    // The host whose listing is newest, and any that has a newer configuration
+    auto const now = boot_now();
+    auto const own_version = context_.routes ? context_.routes->source().version : 0;
+    auto const own_age =
+        catalog_.listed_at() ? now - *catalog_.listed_at() : duration::max();
+    std::optional<peer_address> freshest;
+    std::optional<peer_address> newest;
+    auto newest_version = own_version;
+    auto freshest_age = duration::max();
+    for (auto const& [host, known] : fleet_.peers().peers())
+    {
+        if (!fleet_.peers().heard(host, now))
+            continue;
+        if (known.beat.deployment_version > newest_version)
+        {
+            newest = known.beat.address;
+            newest_version = known.beat.deployment_version;
+        }
+        if (known.beat.listing_revision > catalog_.revision() &&
+            known.beat.listing_age < freshest_age)
+        {
+            freshest = known.beat.address;
+            freshest_age = known.beat.listing_age;
+        }
+    }
+    relaying_ = true;
+    if (newest)
+    {
+        std::string const path = "/relay/operator";
+        auto const relayed = co_await read_relay(*newest, path);
+        auto const news = source_.read_relayed_operator(relayed);
+        if (!news.error)
+            take_news(news, "peer");
+    }
+    if (freshest && own_age > times_.relay_age)
+    {
+        std::string const path = "/relay/endpoints";
+        auto const relayed = co_await read_relay(*freshest, path);
+        auto listing = source_.read_relayed_endpoints(relayed);
+        if (!listing.error)
+        {
+            log_event(event::view_relayed, "revision", listing.revision, "own_age_ms",
+                      own_age.count() / 1'000'000);
+            listing.relayed = relayed;
+            take_listing(std::move(listing), "peer");
+        }
+    }
+    relaying_ = false;
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::chores()
+{
+    auto const now = boot_now();
+    context_.lost.expire(context_.suspects, now);
+    if (now >= next_reports_)
+    {
+        next_reports_ = now + times_.report_interval;
+        read_reports();
+    }
+    if (now >= next_relay_ && !relaying_ && !stopping_)
+    {
+        next_relay_ = now + times_.read_pause;
+        boost::asio::co_spawn(loop_, relay_view(), boost::asio::detached);
+    }
+    publish_statuses();
+    give_orders();
+    chore_timer_.expires_after(times_.chore_interval);
+    chore_timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error && !finished_)
+                chores();
+        });
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::publish_statuses()
+{
+    auto const now = boot_now();
+    auto const self = host_id::of(settings_.host);
+    for (auto const engine : planner_.leased())
+        if (auto const usage = context_.dispatch.take_usage(engine, now))
+            planner_.on_usage(self, *usage, now);
+    for (auto const& status : planner_.statuses(now))
+        context_.dispatch.on_status(status, now);
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::read_reports()
+{
+    for (auto const engine : planner_.leased())
+    {
+        auto const* announced = catalog_.find(engine);
+        if (announced && reporting_.insert(engine).second)
+            boost::asio::co_spawn(loop_, read_report(*announced), boost::asio::detached);
+    }
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void>
+entry_node<Platform>::read_report(endpoint_announcement engine)
+{
+    auto const asked_at = boot_now();
+    auto const report = co_await engines_.read_report(engine);
+    reporting_.erase(engine.id);
+    if (report)
+        planner_.on_report(*report, asked_at, boot_now());
+    give_orders();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::give_orders()
+{
+    if (stopping_)
+        return;
+    for (auto& order : planner_.next_orders(boot_now()))
+        boost::asio::co_spawn(loop_, give_order(std::move(order)), boost::asio::detached);
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::give_order(planned_order order)
+{
+    auto const* announced = catalog_.find(order.endpoint);
+    auto const number = fleet_.may_order(order.endpoint);
+    auto result = order_result::refused;
+    auto const begin = boot_now();
+    if (announced && number && !stopping_)
+    {
+        order.fencing_number = *number;
+        result = co_await engines_.give(*announced, order);
+    }
+    log_event(event::order_given, "endpoint", announced ? announced->name : "-", "kind",
+              to_string(order.kind), "adapter", order.adapter, "fence",
+              order.fencing_number, "result", to_string(result), "leased",
+              number.has_value(), "took_ms", (boot_now() - begin).count() / 1'000'000);
+    context_.metrics.count(orders_metric, "result", to_string(result));
+    if (result == order_result::fenced)
+        fleet_.on_fenced(order.endpoint, order.fencing_number);
+    planner_.on_order_done(order, result, boot_now());
+    publish_statuses();
+    give_orders();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::fill(peer_beat& beat)
+{
+    auto const now = boot_now();
+    beat.deployment_version = context_.routes ? context_.routes->source().version : 0;
+    beat.listing_revision = catalog_.revision();
+    beat.listing_age = catalog_.listed_at() ? now - *catalog_.listed_at() : duration{0};
+    beat.transit = planner_.transit(now);
+    beat.engines = planner_.statuses(now);
+    beat.convictions = context_.suspects.convictions(now);
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::fill_for(peer_beat& beat, host_id to)
+{
+    auto const now = boot_now();
+    for (auto const& [id, endpoint] : catalog_.endpoints())
+    {
+        auto const engine = known_engines_.contains(id);
+        if (engine && fleet_.holder_of(id) != to)
+            continue;
+        auto const* load = context_.dispatch.find(id);
+        if (!load || (!engine && load->in_flight == 0))
+            continue;
+        if (engine)
+            beat.usage.push_back(*context_.dispatch.take_usage(id, now));
+        else
+            beat.usage.push_back({.endpoint = id, .in_flight = load->in_flight});
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::on_beat(peer_beat const& beat)
+{
+    auto const now = boot_now();
+    for (auto const& status : beat.engines)
+        context_.dispatch.on_status(status, now);
+    for (auto const& known : beat.convictions)
+        context_.suspects.merge(now, known);
+    transit_[beat.host] = beat.transit;
+    std::uint32_t foreign = 0;
+    for (auto const& [host, count] : transit_)
+        foreign += count;
+    planner_.set_foreign_transit(foreign);
+
+    // What a beat does not mention, its sender has nothing at
+    for (auto& [endpoint, hosts] : others_)
+        hosts.erase(beat.host);
+    for (auto const& usage : beat.usage)
+    {
+        if (known_engines_.contains(usage.endpoint))
+            planner_.on_usage(beat.host, usage, now);
+        else
+            others_[usage.endpoint][beat.host] = usage.in_flight;
+    }
+    for (auto const& [endpoint, hosts] : others_)
+    {
+        std::uint32_t sum = 0;
+        for (auto const& [host, count] : hosts)
+            sum += fleet_.peers().heard(host, now) ? count : 0;
+        context_.dispatch.on_others(endpoint, sum);
+    }
+}
+
+template <entry_platform Platform>
+load_reply entry_node<Platform>::on_load_request(load_request const& request)
+{
+    auto const reply = planner_.on_load_request(request, boot_now());
+    log_event(event::load_decided, "endpoint", request.endpoint, "adapter",
+              request.adapter, "accepted", reply.accepted, "ready_in_ms",
+              reply.ready_in.count() / 1'000'000);
+    give_orders();
+    return reply;
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::on_load_reply(load_reply const& reply)
+{
+    context_.dispatch.on_load_reply(reply, boot_now());
+    context_.wake(reply.adapter);
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::shut_down()
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    context_.callers.stopping = true;
+    log_event(event::shutdown_started, "notice_ms", times_.notice.count() / 1'000'000,
+              "connections", callers_.connections());
+    fleet_.leave();
+    stop_timer_.expires_after(times_.notice);
+    stop_timer_.async_wait([this](boost::system::error_code) { stop_callers(); });
+    grace_timer_.expires_after(settings_.grace - times_.grace_margin);
+    grace_timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+                finish();
+        });
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::stop_callers()
+{
+    callers_.stop([this] { finish(); });
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::finish()
+{
+    if (std::exchange(finished_, true))
+        return;
+    log_event(event::shutdown_finished, "cut", callers_.connections());
+    fleet_.close();
+    source_.close();
+    signals_.cancel();
+    grace_timer_.cancel();
+    chore_timer_.cancel();
+    listing_timer_.cancel();
+    watch_timer_.cancel();
+    loop_.stop();
+}
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/entry/entry_platform.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <marjorampath/adapter_load/engine_report.hpp>
+#include <marjorampath/adapter_load/planned_order.hpp>
+#include <serving/endpoint/connection_pool.hpp>
+#include <serving/entry/entry_dialect.hpp>
+#include <serving/entry/entry_view.hpp>
+
+#include <concepts>
+#include <optional>
+#include <string>
+
+namespace marjorampath::serving
+{
+
+/// Gives orders to engines and reads their reports.
+template <class Client>
+concept entry_engine_client =
+    std::constructible_from<Client, connection_pool&, std::string> &&
+    requires(Client& client, endpoint_announcement engine, planned_order order)
+{
+    {
+        client.give(engine, order)
+        } -> std::same_as<boost::asio::awaitable<order_result>>;
+    {
+        client.read_report(engine)
+        } -> std::same_as<boost::asio::awaitable<std::optional<engine_report>>>;
+};
+
+/// A platform that an entry node can serve on.
+template <class Platform>
+concept entry_platform = entry_dialect<typename Platform::dialect> &&
+    entry_view_source<typename Platform::view_source> &&
+    entry_engine_client<typename Platform::engine_client>;
+
+} // namespace marjorampath::serving
--- /dev/null
+++ b/serving/entry/peer_codec.cpp
@@ -0,0 +1,289 @@
+#include <schema/peer.capnp.h>
+#include <serving/entry/peer_codec.hpp>
+#include <serving/link/codec.hpp>
+#include <serving/link/lease_codec.hpp>
+#include <serving/link/membership_codec.hpp>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace marjorampath::schema
+{
+
+namespace
+{
+
+// Bounds what a forged datagram can make the reader visit: far above the largest beat
+constexpr std::uint64_t traversal_limit_words = 131'072;
+// First segment of a message that is built: a beat of a small fleet fits
+constexpr unsigned first_segment_words = 1'024;
+
+} // namespace
+
+// The lists of codec.hpp find the functions of their elements in this namespace
+
+void encode(peer_address const& value, PeerAddress::Builder wire)
+{
+    wire.setAddress(value.address);
+    wire.setPort(value.port);
+}
+
+void decode(PeerAddress::Reader wire, peer_address& value)
+{
+    value.address = wire.getAddress();
+    value.port = wire.getPort();
+}
+
+void encode(peer_mention const& value, PeerMention::Builder wire)
+{
+    wire.setHost(value.host.number());
+    wire.setIncarnation(value.incarnation);
+    encode(value.address, wire.initAddress());
+}
+
+void decode(PeerMention::Reader wire, peer_mention& value)
+{
+    decode(wire.getHost(), value.host);
+    value.incarnation = wire.getIncarnation();
+    decode(wire.getAddress(), value.address);
+}
+
+void encode(adapter_status const& value, AdapterStatus::Builder wire)
+{
+    wire.setName(value.name);
+    wire.setVersion(value.version);
+    wire.setReadyIn(encode_duration(value.ready_in));
+}
+
+void decode(AdapterStatus::Reader wire, adapter_status& value)
+{
+    value.name = wire.getName().cStr();
+    value.version = wire.getVersion();
+    value.ready_in = decode_duration(wire.getReadyIn());
+}
+
+void encode(engine_status const& value, EngineStatus::Builder wire)
+{
+    wire.setEndpoint(value.endpoint.number());
+    wire.setBorn(value.born);
+    wire.setOrderable(value.orderable);
+    wire.setFreePlaces(value.free_places);
+    wire.setInFlight(value.in_flight);
+    wire.setWaitingTokens(value.waiting_tokens);
+    wire.setTokens(value.tokens);
+    auto models = wire.initModels(wire_size(value.models));
+    for (std::size_t index = 0; index < value.models.size(); ++index)
+        models.set(static_cast<capnp::uint>(index), value.models[index]);
+    encode_list(value.adapters, wire.initAdapters(wire_size(value.adapters)));
+}
+
+void decode(EngineStatus::Reader wire, engine_status& value)
+{
+    decode(wire.getEndpoint(), value.endpoint);
+    value.born = wire.getBorn();
+    value.orderable = wire.getOrderable();
+    value.free_places = wire.getFreePlaces();
+    value.in_flight = wire.getInFlight();
+    value.waiting_tokens = wire.getWaitingTokens();
+    value.tokens = wire.getTokens();
+    for (auto const model : wire.getModels())
+        value.models.emplace_back(model.cStr());
+    decode_list(wire.getAdapters(), value.adapters);
+}
+
+void encode(adapter_usage const& value, AdapterUsage::Builder wire)
+{
+    wire.setName(value.name);
+    wire.setInFlight(value.in_flight);
+    wire.setSent(value.sent);
+}
+
+void decode(AdapterUsage::Reader wire, adapter_usage& value)
+{
+    value.name = wire.getName().cStr();
+    value.in_flight = wire.getInFlight();
+    value.sent = wire.getSent();
+}
+
+void encode(engine_usage const& value, EngineUsage::Builder wire)
+{
+    wire.setEndpoint(value.endpoint.number());
+    wire.setInFlight(value.in_flight);
+    wire.setWaitingTokens(value.waiting_tokens);
+    wire.setTokens(value.tokens);
+    encode_list(value.adapters, wire.initAdapters(wire_size(value.adapters)));
+}
+
+void decode(EngineUsage::Reader wire, engine_usage& value)
+{
+    decode(wire.getEndpoint(), value.endpoint);
+    value.in_flight = wire.getInFlight();
+    value.waiting_tokens = wire.getWaitingTokens();
+    value.tokens = wire.getTokens();
+    decode_list(wire.getAdapters(), value.adapters);
+}
+
+void encode(peer_beat const& value, PeerBeat::Builder wire)
+{
+    wire.setHost(value.host.number());
+    wire.setZone(value.zone.number());
+    wire.setIncarnation(value.incarnation);
+    encode(value.address, wire.initAddress());
+    wire.setLeaving(value.leaving);
+    wire.setGone(value.gone);
+    wire.setDeploymentVersion(value.deployment_version);
+    wire.setListingRevision(value.listing_revision);
+    wire.setListingAge(encode_duration(value.listing_age));
+    wire.setTransit(value.transit);
+    encode_list(value.mentions, wire.initMentions(wire_size(value.mentions)));
+    encode_list(value.engines, wire.initEngines(wire_size(value.engines)));
+    encode_list(value.usage, wire.initUsage(wire_size(value.usage)));
+    encode_list(value.convictions, wire.initConvictions(wire_size(value.convictions)));
+}
+
+void decode(PeerBeat::Reader wire, peer_beat& value)
+{
+    decode(wire.getHost(), value.host);
+    decode(wire.getZone(), value.zone);
+    value.incarnation = wire.getIncarnation();
+    decode(wire.getAddress(), value.address);
+    value.leaving = wire.getLeaving();
+    value.gone = wire.getGone();
+    value.deployment_version = wire.getDeploymentVersion();
+    value.listing_revision = wire.getListingRevision();
+    value.listing_age = decode_duration(wire.getListingAge());
+    value.transit = wire.getTransit();
+    decode_list(wire.getMentions(), value.mentions);
+    decode_list(wire.getEngines(), value.engines);
+    decode_list(wire.getUsage(), value.usage);
+    decode_list(wire.getConvictions(), value.convictions);
+}
+
+void encode(load_request const& value, LoadRequest::Builder wire)
+{
+    wire.setEndpoint(value.endpoint.number());
+    wire.setAdapter(value.adapter);
+}
+
+void decode(LoadRequest::Reader wire, load_request& value)
+{
+    decode(wire.getEndpoint(), value.endpoint);
+    value.adapter = wire.getAdapter().cStr();
+}
+
+void encode(load_reply const& value, LoadReply::Builder wire)
+{
+    wire.setEndpoint(value.endpoint.number());
+    wire.setAdapter(value.adapter);
+    wire.setAccepted(value.accepted);
+    wire.setReadyIn(encode_duration(value.ready_in));
+}
+
+void decode(LoadReply::Reader wire, load_reply& value)
+{
+    decode(wire.getEndpoint(), value.endpoint);
+    value.adapter = wire.getAdapter().cStr();
+    value.accepted = wire.getAccepted();
+    value.ready_in = decode_duration(wire.getReadyIn());
+}
+
+namespace
+{
+
+// Chooses the union's member for a message
+struct message_writer
+{
+    PeerMessage::Builder wire;
+
+    void operator()(peer_beat const& value)
+    {
+        encode(value, wire.initBeat());
+    }
+    void operator()(lease_request const& value)
+    {
+        encode(value, wire.initLeaseRequest());
+    }
+    void operator()(lease_reply const& value)
+    {
+        encode(value, wire.initLeaseReply());
+    }
+    void operator()(lease_release const& value)
+    {
+        encode(value, wire.initLeaseRelease());
+    }
+    void operator()(load_request const& value)
+    {
+        encode(value, wire.initLoadRequest());
+    }
+    void operator()(load_reply const& value)
+    {
+        encode(value, wire.initLoadReply());
+    }
+};
+
+template <class Message, class Reader>
+serving::peer_message decoded(Reader wire)
+{
+    Message value;
+    decode(wire, value);
+    return value;
+}
+
+serving::peer_message read_message(PeerMessage::Reader wire)
+{
+    switch (wire.which())
+    {
+    case PeerMessage::BEAT:
+        return decoded<peer_beat>(wire.getBeat());
+    case PeerMessage::LEASE_REQUEST:
+        return decoded<lease_request>(wire.getLeaseRequest());
+    case PeerMessage::LEASE_REPLY:
+        return decoded<lease_reply>(wire.getLeaseReply());
+    case PeerMessage::LEASE_RELEASE:
+        return decoded<lease_release>(wire.getLeaseRelease());
+    case PeerMessage::LOAD_REQUEST:
+        return decoded<load_request>(wire.getLoadRequest());
+    case PeerMessage::LOAD_REPLY:
+        return decoded<load_reply>(wire.getLoadReply());
+    }
+    KJ_FAIL_REQUIRE("unknown message");
+}
+
+} // namespace
+
+} // namespace marjorampath::schema
+
+namespace marjorampath::serving
+{
+
+std::string encode_peer_message(peer_message const& message)
+{
+    capnp::MallocMessageBuilder builder(schema::first_segment_words);
+    std::visit(schema::message_writer{builder.initRoot<schema::PeerMessage>()}, message);
+    kj::VectorOutputStream output;
+    capnp::writePackedMessage(output, builder);
+    auto const bytes = output.getArray();
+    return {reinterpret_cast<char const*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<peer_message> decode_peer_message(std::string_view bytes)
+{
+    std::optional<peer_message> message;
+    auto const failure = kj::runCatchingExceptions(
+        [&]
+        {
+            kj::ArrayInputStream input(kj::arrayPtr(
+                reinterpret_cast<kj::byte const*>(bytes.data()), bytes.size()));
+            capnp::ReaderOptions options;
+            options.traversalLimitInWords = schema::traversal_limit_words;
+            capnp::PackedMessageReader reader(input, options);
+            message = schema::read_message(reader.getRoot<schema::PeerMessage>());
+        });
+    if (failure != nullptr)
+        return std::nullopt;
+    return message;
+}
+
+} // namespace marjorampath::serving
--- a/serving/host_list/host_list_client.cpp
+++ b/serving/host_list/host_list_client.cpp
@@ -1,5 +1,5 @@
 #include <serving/host_list/host_list_client.hpp>
-#include <serving/platform/platform_error.hpp>
+#include <serving/remote/remote_error.hpp>
 
 #include <utility>
 
@@ -24,7 +24,7 @@
 
     auto hosts = parse_host_list(answer.body);
     if (!hosts)
-        result.error = platform_error::malformed;
+        result.error = remote_error::malformed;
     else
         result.hosts = std::move(*hosts);
     co_return result;
--- a/serving/host_list/host_list_client.hpp
+++ b/serving/host_list/host_list_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <serving/host_list/host_entry.hpp>
-#include <serving/platform/http_reader.hpp>
+#include <serving/remote/http_reader.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -28,7 +28,7 @@
     host_list_client(boost::asio::any_io_executor const& executor,
                      http_reader::options values);
 
-    /// Reads the whole list; a malformed one is `platform_error::malformed`.
+    /// Reads the whole list; a malformed one is `remote_error::malformed`.
     boost::asio::awaitable<host_list_read> read();
 
     /// Ends a call in progress with an error.
--- a/serving/link/peer_link.hpp
+++ b/serving/link/peer_link.hpp
@@ -3,7 +3,7 @@
 #include <serving/link/asio_stream.hpp>
 #include <serving/link/link_error.hpp>
 #include <serving/link/node_method.hpp>
-#include <serving/platform/back_off.hpp>
+#include <serving/remote/back_off.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ssl/context.hpp>
--- a/serving/node/endpoint_monitor.hpp
+++ b/serving/node/endpoint_monitor.hpp
@@ -4,7 +4,7 @@
 #include <marjorampath/sheet/sheet.hpp>
 #include <serving/endpoint/directory.hpp>
 #include <serving/host_list/host_entry.hpp>
-#include <serving/platform/http_reader.hpp>
+#include <serving/remote/http_reader.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/serving/node/traffic_worker.cpp
+++ b/serving/node/traffic_worker.cpp
@@ -1,3 +1,4 @@
+#include <serving/node/service_request.hpp>
 #include <serving/node/traffic_worker.hpp>
 
 #include <boost/asio/post.hpp>
@@ -16,16 +17,18 @@
 
 traffic_worker::traffic_worker(traffic_worker_options options, asio::io_context& control,
                                grant_service const& service)
-    : work_(loop_.get_executor()),
-      control_(&control), context_{.loop = loop_,
-                                   .host = options.host,
-                                   .limits = options.limits,
-                                   .grants = grant_client(loop_, control, service),
-                                   .connections = connection_pool(loop_.get_executor(),
-                                                                  options.connections),
-                                   .request_seed = options.request_seed,
-                                   .view = {}},
-      listener_(context_)
+    : work_(loop_.get_executor()), control_(&control),
+      context_{.callers = {.loop = loop_,
+                           .limits = options.limits,
+                           .answer = [this](caller_session& session,
+                                            caller_message const& message)
+                           { return answer_service_request(context_, session, message); },
+                           .request_seed = options.request_seed},
+               .host = options.host,
+               .grants = grant_client(loop_, control, service),
+               .connections = connection_pool(loop_.get_executor(), options.connections),
+               .view = {}},
+      listener_(context_.callers)
 {
 }
 
@@ -42,8 +45,12 @@
 
 void traffic_worker::set_view(routing_view view)
 {
-    asio::post(loop_, [this, view = std::move(view)]() mutable
-               { context_.view = std::move(view); });
+    asio::post(loop_,
+               [this, view = std::move(view)]() mutable
+               {
+                   context_.callers.stopping = view.stopping;
+                   context_.view = std::move(view);
+               });
 }
 
 void traffic_worker::stop_callers(std::function<void()> drained)
--- a/serving/platform/http_reader.cpp
+++ b/serving/remote/http_reader.cpp
@@ -1,5 +1,5 @@
-#include <serving/platform/http_reader.hpp>
-#include <serving/platform/platform_error.hpp>
+#include <serving/remote/http_reader.hpp>
+#include <serving/remote/remote_error.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -30,13 +30,13 @@
     case http::status::ok:
         return {};
     case http::status::not_found:
-        return platform_error::not_found;
+        return remote_error::not_found;
     case http::status::not_modified:
-        return platform_error::not_modified;
+        return remote_error::not_modified;
     case http::status::too_many_requests:
-        return platform_error::rate_limited;
+        return remote_error::rate_limited;
     default:
-        return platform_error::unexpected_status;
+        return remote_error::unexpected_status;
     }
 }
 
--- a/serving/platform/http_reader.hpp
+++ b/serving/remote/http_reader.hpp
@@ -16,7 +16,7 @@
 /// The answer to one GET request.
 struct http_read
 {
-    /// Why there is no answer; a platform_error or an error of the network.
+    /// Why there is no answer; a remote_error or an error of the network.
     std::error_code error;
     /// Value of the header `X-Revision`; zero where it is missing.
     std::uint64_t revision = 0;
--- a/serving/platform/platform_error.cpp
+++ b/serving/remote/remote_error.cpp
@@ -1,4 +1,4 @@
-#include <serving/platform/platform_error.hpp>
+#include <serving/remote/remote_error.hpp>
 
 #include <string>
 
@@ -8,7 +8,7 @@
 namespace
 {
 
-class platform_error_category_type final : public std::error_category
+class remote_error_category_type final : public std::error_category
 {
 public:
     [[nodiscard]] char const* name() const noexcept override
@@ -18,17 +18,17 @@
 
     [[nodiscard]] std::string message(int value) const override
     {
-        switch (static_cast<platform_error>(value))
+        switch (static_cast<remote_error>(value))
         {
-        case platform_error::not_found:
+        case remote_error::not_found:
             return "the service does not have the value";
-        case platform_error::not_modified:
+        case remote_error::not_modified:
             return "no newer revision";
-        case platform_error::rate_limited:
+        case remote_error::rate_limited:
             return "above the rate of reads";
-        case platform_error::unexpected_status:
+        case remote_error::unexpected_status:
             return "unexpected status";
-        case platform_error::malformed:
+        case remote_error::malformed:
             return "the answer was not understood";
         }
         return "unknown error";
@@ -37,15 +37,15 @@
 
 } // namespace
 
-std::error_category const& platform_error_category() noexcept
+std::error_category const& remote_error_category() noexcept
 {
-    static platform_error_category_type const category;
+    static remote_error_category_type const category;
     return category;
 }
 
-std::error_code make_error_code(platform_error error) noexcept
+std::error_code make_error_code(remote_error error) noexcept
 {
-    return {static_cast<int>(error), platform_error_category()};
+    return {static_cast<int>(error), remote_error_category()};
 }
 
 } // namespace marjorampath::serving
--- a/serving/platform/platform_error.hpp
+++ b/serving/remote/remote_error.hpp
@@ -6,7 +6,7 @@
 {
 
 /// Why a read from a service of the platform gave no value.
-enum class platform_error
+enum class remote_error
 {
     /// The service does not have the value (404).
     not_found = 1,
@@ -20,15 +20,15 @@
     malformed
 };
 
-/// The category of platform_error.
-std::error_category const& platform_error_category() noexcept;
+/// The category of remote_error.
+std::error_category const& remote_error_category() noexcept;
 
-/// Makes an error code of a platform_error; found by argument-dependent look-up.
-std::error_code make_error_code(platform_error error) noexcept;
+/// Makes an error code of a remote_error; found by argument-dependent look-up.
+std::error_code make_error_code(remote_error error) noexcept;
 
 } // namespace marjorampath::serving
 
 template <>
-struct std::is_error_code_enum<marjorampath::serving::platform_error> : std::true_type
+struct std::is_error_code_enum<marjorampath::serving::remote_error> : std::true_type
 {
 };
--- a/serving/service/plain_exchange.cpp
+++ b/serving/service/plain_exchange.cpp
@@ -13,11 +13,6 @@
 #include <algorithm>
 #include <utility>
 
-// GCC 12 takes the allocation of a coroutine's frame for a mismatched one
-#if defined(__GNUC__) && !defined(__clang__)
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-#endif
-
 namespace marjorampath::serving
 {
 
@@ -54,17 +49,18 @@
     auto const method = request_->message->method_string();
     idempotent_ = !sheet_->is_non_idempotent(
         contract_->id, {method.data(), method.size()}, request_->route.target);
-    decision_.emplace(retry_options{.idempotent = idempotent_,
-                                    .resumable = false,
-                                    .max_attempts = context_->limits.max_attempts});
+    decision_.emplace(
+        retry_options{.idempotent = idempotent_,
+                      .resumable = false,
+                      .max_attempts = context_->callers.limits.max_attempts});
 
     // The exchange ends at its deadline or with its caller
-    auto const time_left = std::min<duration>(
-        request_->deadline.value_or(contract_->deadline), context_->limits.max_deadline);
+    auto const time_left =
+        std::min<duration>(request_->deadline.value_or(contract_->deadline),
+                           context_->callers.limits.max_deadline);
     deadline_ = boot_now() + time_left;
     auto* session = session_;
-    control_ = std::make_shared<exchange_control>(context_->loop.get_executor(),
-                                                  context_->grants,
+    control_ = std::make_shared<exchange_control>(context_->callers.loop.get_executor(),
                                                   [session] { session->cancel_write(); });
     control_->start_deadline(time_left);
     session_->watch([control = control_] { control->abort(error_kind::caller_gone); });
@@ -97,7 +93,7 @@
 
 asio::awaitable<retry_step> plain_exchange::ask_grant()
 {
-    attempt_ = context_->next_request_id();
+    attempt_ = context_->callers.next_request_id();
     endpoint_.reset();
     auto const target_hash = hash_bytes(request_->route.target);
     auto const body_hash = hash_bytes(request_->message->body());
@@ -117,9 +113,9 @@
         .deadline = deadline_,
         .sheet_number = sheet_->number(),
     };
-    control_->set_waiting(attempt_);
+    control_->set_waiting([this, asked = attempt_] { context_->grants.cancel(asked); });
     auto const reply = co_await context_->grants.request(question);
-    control_->set_waiting({});
+    control_->set_waiting(nullptr);
 
     if (auto const* refusal = std::get_if<refuse_action>(&reply))
     {
--- a/serving/sheet_source/sheet_source.cpp
+++ b/serving/sheet_source/sheet_source.cpp
@@ -1,4 +1,4 @@
-#include <serving/platform/platform_error.hpp>
+#include <serving/remote/remote_error.hpp>
 #include <serving/sheet_source/sheet_source.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -59,7 +59,7 @@
 {
     auto const newer =
         co_await client_.wait_newer(sheet_manifest_key, revision_, options_.watch_wait);
-    if (newer.error == platform_error::not_modified)
+    if (newer.error == remote_error::not_modified)
         co_return true;
     if (newer.error)
     {
--- a/serving/sheet_source/sheet_source.hpp
+++ b/serving/sheet_source/sheet_source.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <serving/configuration/configuration_client.hpp>
-#include <serving/platform/back_off.hpp>
+#include <serving/remote/back_off.hpp>
 #include <serving/sheet_source/sheet_holder.hpp>
 
 #include <boost/asio/awaitable.hpp>
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -57,6 +57,25 @@
                 "The host list does not answer; the last one stays in use."},
     event_entry{host_list_changed, info, "host_list_changed",
                 "Hosts were added, removed or marked as leaving."},
+    event_entry{
+        deployment_accepted, info, "deployment_accepted",
+        "A configuration of routes and services is in force; `source` tells where "
+        "it was read."},
+    event_entry{
+        deployment_ignored, warning, "deployment_ignored",
+        "A configuration could not be understood; the one before stays in force."},
+    event_entry{store_unreachable, warning, "store_unreachable",
+                "A read of the platform's store failed; what is known stays in use and "
+                "peers are asked."},
+    event_entry{store_reachable, info, "store_reachable",
+                "The platform's store answers again."},
+    event_entry{store_entry_ignored, warning, "store_entry_ignored",
+                "An entry of the platform's store could not be understood and names "
+                "nothing."},
+    event_entry{version_announced, info, "version_announced",
+                "A new version of an adapter was announced."},
+    event_entry{view_relayed, info, "view_relayed",
+                "Another host's view of the platform's store was taken over."},
 
     event_entry{link_opened, info, "link_opened", "A connection to a host was opened."},
     event_entry{link_lost, warning, "link_lost",
@@ -104,6 +123,16 @@
                 "An engine did not have an adapter that it should have had."},
     event_entry{adapter_unwanted, warning, "adapter_unwanted",
                 "An engine holds an adapter that no sheet assigns and nobody ordered."},
+    event_entry{endpoint_appeared, info, "endpoint_appeared",
+                "An endpoint announced itself."},
+    event_entry{load_asked, info, "load_asked",
+                "The lease holder of an engine was asked for an adapter."},
+    event_entry{load_decided, info, "load_decided",
+                "This host decided about an adapter that was asked for at its engine."},
+    event_entry{order_given, info, "order_given",
+                "An order was given to an engine; `result` tells how it was taken."},
+    event_entry{engine_reported, info, "engine_reported",
+                "The first report of an engine under a lease of this host."},
 
     event_entry{request_failed, warning, "request_failed",
                 "A request was answered with an error; `outcome` tells whether it ran."},
@@ -111,6 +140,16 @@
                 "A request is tried again at another endpoint."},
     event_entry{request_shed, warning, "request_shed",
                 "A request was refused before it ran, for want of capacity."},
+    event_entry{request_decided, info, "request_decided",
+                "It was decided where a request goes, or that it waits for an adapter; "
+                "`expected_ms` is the expected time to the first byte."},
+    event_entry{attempt_ended, info, "attempt_ended",
+                "A send of a request to an endpoint ended; `end` tells how."},
+    event_entry{request_answered, info, "request_answered",
+                "A caller got the endpoint's answer."},
+    event_entry{request_rejected, info, "request_rejected",
+                "A request was answered with an error of this host; `outcome` tells "
+                "whether it ran."},
     event_entry{key_unknown, warning, "key_unknown",
                 "Whether a request with this key ran can no longer be told. Compare with "
                 "the endpoint's records."},
--- a/serving/telemetry/logger.cpp
+++ b/serving/telemetry/logger.cpp
@@ -74,6 +74,8 @@
         }
         ++repeat.written;
         push_locked(now_ms, id, fields);
+        if (options_.gather_time.count() > 0 && queue_.size() < options_.queue_limit / 2)
+            return;
     }
     pending_.notify_one();
 }
@@ -113,16 +115,30 @@
     push_locked(now_ms, event::log_lines_lost, fmt::format(" lines={}", lost));
 }
 
+void logger::wait_for_lines(std::unique_lock<std::mutex>& lock)
+{
+    if (options_.gather_time.count() > 0)
+    {
+        pending_.wait_for(
+            lock, options_.gather_time,
+            [this] { return stopping_ || queue_.size() >= options_.queue_limit / 2; });
+        return;
+    }
+    pending_.wait_for(lock, report_period,
+                      [this] { return stopping_ || !queue_.empty(); });
+}
+
 void logger::run()
 {
     std::unique_lock lock(mutex_);
     while (true)
     {
-        pending_.wait_for(lock, report_period,
-                          [this] { return stopping_ || !queue_.empty(); });
+        wait_for_lines(lock);
         report_suppressed_locked(wall_now().count());
         if (queue_.empty() && stopping_)
             return;
+        if (queue_.empty())
+            continue;
 
         // Write without the lock, so that callers never wait for the output
         std::deque<std::string> lines;
@@ -138,9 +154,22 @@
     }
 }
 
+namespace
+{
+
+// Chosen before the first use
+logger::options process_options;
+
+} // namespace
+
+void configure_process_logger(logger::options const& chosen)
+{
+    process_options = chosen;
+}
+
 logger& process_logger()
 {
-    static logger instance{logger::options{}};
+    static logger instance{process_options};
     return instance;
 }
 
--- a/serving/telemetry/logger.hpp
+++ b/serving/telemetry/logger.hpp
@@ -3,6 +3,7 @@
 #include <serving/telemetry/event_catalogue.hpp>
 
 #include <array>
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -31,6 +32,9 @@
         /// Largest number of lines of one event in one second; further ones are counted
         /// and reported in one line at the end of the second.
         std::uint32_t lines_per_second = 20;
+        /// Time for which lines are gathered before they are written together; zero
+        /// writes each one at once.
+        std::chrono::milliseconds gather_time{0};
         /// Events less serious than this are not written.
         severity least = severity::info;
     };
@@ -71,6 +75,8 @@
     void push_locked(std::int64_t now_ms, event id, std::string_view fields);
     // Reports events left out in seconds before this one; the mutex is held
     void report_suppressed_locked(std::int64_t now_ms);
+    // Waits until there is something to write or to report
+    void wait_for_lines(std::unique_lock<std::mutex>& lock);
     // Body of the writing thread
     void run();
 
@@ -96,7 +102,11 @@
     std::thread thread_;
 };
 
-/// The logger of the process, which writes to standard error.
+/// Chooses how the logger of the process behaves; to be called before its first use.
+void configure_process_logger(logger::options const& chosen);
+
+/// The logger of the process, which writes to standard error where nothing else was
+/// chosen.
 logger& process_logger();
 
 } // namespace marjorampath::serving
--- a/tests/unit/caller/exchange_test.cpp
+++ b/tests/unit/caller/exchange_test.cpp
@@ -1,5 +1,6 @@
 #include <serving/caller/caller_listener.hpp>
 #include <serving/caller/caller_session.hpp>
+#include <serving/node/service_request.hpp>
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -67,7 +68,7 @@
 {
 public:
     explicit exchange_fixture(std::deque<std::string> answers)
-        : endpoint(loop, std::move(answers)), listener_(context_)
+        : endpoint(loop, std::move(answers)), listener_(context_.callers)
     {
         directory_entry const entry{.id = endpoint_id::of("e"),
                                     .name = "e",
@@ -170,12 +171,16 @@
         { releases.push_back(report.reason); },
         .withdraw = [](request_id) {}};
     // Objects of the traffic thread
-    traffic_context context_{.loop = loop,
-                             .host = host_id::of("h"),
-                             .limits = {.max_head_bytes = 2'048, .max_body_bytes = 4'096},
-                             .grants = grant_client(loop, loop, service_),
-                             .connections = connection_pool(loop.get_executor(), {}),
-                             .view = {}};
+    traffic_context context_{
+        .callers = {.loop = loop,
+                    .limits = {.max_head_bytes = 2'048, .max_body_bytes = 4'096},
+                    .answer =
+                        [this](caller_session& session, caller_message const& message)
+                    { return answer_service_request(context_, session, message); }},
+        .host = host_id::of("h"),
+        .grants = grant_client(loop, loop, service_),
+        .connections = connection_pool(loop.get_executor(), {}),
+        .view = {}};
     // Accepts the caller
     caller_listener listener_;
 };
