--- a/demo.sh
+++ b/demo.sh
@@ -14,6 +14,7 @@
 work=$(mktemp -d)
 pids=()
 entry=()
+entry_pids=()
 peers=()
 failed=0
 
@@ -140,11 +141,13 @@
 configuration_service: $configuration
 host_list: $host_list
 host_list_interval_ms: 200
+shutdown_notice_ms: 500
 fleet:
   address: 127.0.0.1:0
   zones: zone-0,zone-1
 END
     start "entry-$index" "$bin/marjorampathd" --settings "$work/entry-$index.yaml"
+    entry_pids+=("${pids[-1]}")
     entry+=("$address")
     peers+=("$(awk 'NR == 1 {print $2}' "$work/entry-$index.out")")
 done
@@ -216,6 +219,15 @@
 row "adapters evicted while serving" "$violations" \
     "$([ "$violations" = 0 ] && echo right || echo WRONG)"
 
+# The nodes are told to stop; each ends with status 0
+kill -TERM "${entry_pids[@]}"
+for index in "${!entry_pids[@]}"; do
+    status=0
+    wait "${entry_pids[$index]}" || status=$?
+    row "entry-$index is told to stop" "status $status" \
+        "$([ "$status" = 0 ] && echo right || echo WRONG)"
+done
+
 echo
 [ "$failed" -eq 0 ] && echo "every outcome was right" || echo "an outcome was WRONG"
 exit "$failed"
--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -21,6 +21,12 @@
 constexpr std::size_t max_parts = 4'096;
 // Time between two looks at an adapter that is being loaded
 constexpr duration recheck_interval = std::chrono::milliseconds(60);
+// Longest pause before an adapter that is late is tried again
+constexpr duration longest_delay = std::chrono::milliseconds(480);
+// What one late adapter adds to the margin behind the expected end of loads, and what one
+// in time takes away: about one in sixteen is late
+constexpr duration margin_rise = std::chrono::milliseconds(16);
+constexpr duration margin_fall = std::chrono::milliseconds(1);
 // Size of the steps in which queues are compared when a load is placed, so that hosts
 // whose views differ a little choose the same engine
 constexpr duration queue_step = std::chrono::milliseconds(40);
@@ -111,7 +117,7 @@
         load.adapters.try_emplace(
             adapter.name, adapter_belief{.present = true,
                                          .version = adapter.version,
-                                         .ready_at = now + adapter.ready_in,
+                                         .ready_at = arrival(now, adapter.ready_in),
                                          .known_at = now - options_.answer_memory});
 }
 
@@ -440,6 +446,16 @@
     waiting -= std::min<std::uint64_t>(waiting, request.prompt_tokens);
 }
 
+void dispatcher::note_arrival(endpoint_load& load, std::string const& adapter,
+                              time_point now)
+{
+    auto const found = load.adapters.find(adapter);
+    if (found == load.adapters.end() || found->second.delay > duration{0} ||
+        now - found->second.ready_at > options_.status_memory)
+        return;
+    arrival_margin_ -= std::min(arrival_margin_, margin_fall);
+}
+
 bool dispatcher::delay_arrival(endpoint_load& load, std::string const& adapter,
                                time_point now)
 {
@@ -447,8 +463,11 @@
     if (found == load.adapters.end() ||
         now - found->second.ready_at > options_.answer_memory)
         return false;
-    found->second.ready_at = now + recheck_interval;
-    found->second.known_at = now;
+    auto& coming = found->second;
+    coming.delay = std::min(std::max(coming.delay * 2, recheck_interval), longest_delay);
+    coming.ready_at = now + coming.delay;
+    coming.known_at = now;
+    arrival_margin_ = std::min(arrival_margin_ + margin_rise, longest_delay);
     return true;
 }
 
@@ -477,6 +496,7 @@
         load.breaker.succeed();
         move_rate(load.failure_rate, false);
         move_rate(load.refusal_rate, false);
+        note_arrival(load, request.adapter, now);
         break;
     case call_end::failed:
         load.breaker.succeed();
@@ -521,7 +541,12 @@
     }
     load.asked_loads.erase(reply.adapter);
     load.adapters[reply.adapter] = {
-        .present = true, .ready_at = now + reply.ready_in, .known_at = now};
+        .present = true, .ready_at = arrival(now, reply.ready_in), .known_at = now};
+}
+
+time_point dispatcher::arrival(time_point now, duration ready_in) const
+{
+    return ready_in > duration{0} ? now + ready_in + arrival_margin_ : now;
 }
 
 std::optional<engine_usage> dispatcher::take_usage(endpoint_id endpoint, time_point now)
--- a/marjorampath/dispatch/dispatcher.hpp
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -140,6 +140,12 @@
     [[nodiscard]] static adapter_belief const* belief(endpoint_load const& load,
                                                       std::string const& adapter);
 
+    // When an adapter can be used whose load is expected to end in a time
+    [[nodiscard]] time_point arrival(time_point now, duration ready_in) const;
+
+    // Takes a success just behind the expected end of a load
+    void note_arrival(endpoint_load& load, std::string const& adapter, time_point now);
+
     // Takes a refusal just behind the expected end of a load for a load that lasts longer
     bool delay_arrival(endpoint_load& load, std::string const& adapter, time_point now);
 
@@ -156,6 +162,8 @@
     std::map<endpoint_id, endpoint_load> loads_;
     // Announced versions by adapter
     std::map<std::string, std::uint64_t> versions_;
+    // Added to the expected end of a load; learnt from adapters that were late
+    duration arrival_margin_{0};
     // Source of jitter
     std::minstd_rand random_;
 };
--- a/marjorampath/dispatch/endpoint_load.hpp
+++ b/marjorampath/dispatch/endpoint_load.hpp
@@ -21,6 +21,8 @@
     std::uint64_t version = 0;
     /// When its load ends.
     time_point ready_at;
+    /// Pause since it was last found not to be there yet; zero for none.
+    duration delay{0};
     /// When this was learnt.
     time_point known_at;
 };
--- a/marjorampath/peer/peer_beat.hpp
+++ b/marjorampath/peer/peer_beat.hpp
@@ -50,15 +50,15 @@
     bool leaving = false;
     /// Whether its process is about to end.
     bool gone = false;
-    /// Version of the deployment that it has in force; zero for none.
-    std::uint64_t deployment_version = 0;
+    /// Revision of what it knows of the operator; zero for nothing.
+    std::uint64_t operator_revision = 0;
     /// Revision of its last listing of endpoints.
     std::uint64_t listing_revision = 0;
     /// Age of that listing.
     duration listing_age{0};
     /// Adapters on their way to engines whose leases it holds.
     std::uint32_t transit = 0;
-    /// Hosts that it knows.
+    /// Some of the hosts that it knows, the receiver among them.
     std::vector<peer_mention> mentions;
     /// Engines whose leases it holds.
     std::vector<engine_status> engines;
--- a/marjorampath/peer/peer_table.cpp
+++ b/marjorampath/peer/peer_table.cpp
@@ -45,6 +45,8 @@
         else if (mention.address != self_.address)
         {
             addresses_.try_emplace(mention.address, now + options_.forget_time);
+            if (!peers_.contains(mention.host))
+                hearsay_[mention.host] = {mention, now + options_.forget_time};
         }
     }
 
@@ -62,6 +64,7 @@
         change = peer_change::gone;
     silent_.erase(beat.host);
 
+    hearsay_.erase(beat.host);
     auto& known = peers_[beat.host];
     auto const same_process = known.beat.incarnation == beat.incarnation;
     known.acquainted = acquainted || (known.acquainted && same_process);
@@ -81,6 +84,7 @@
                   { return now - entry.second.heard_at > options_.forget_time; });
     std::erase_if(silent_,
                   [&](auto const& entry) { return !peers_.contains(entry.first); });
+    std::erase_if(hearsay_, [&](auto const& entry) { return entry.second.second < now; });
     std::erase_if(addresses_, [&](auto const& entry) { return entry.second < now; });
     return lost;
 }
@@ -105,17 +109,46 @@
     return found;
 }
 
-std::vector<peer_mention> peer_table::mentions() const
+std::vector<peer_mention> peer_table::mentions(host_id to)
 {
     std::vector<peer_mention> found;
-    for (auto const& [id, known] : peers_)
-        if (!known.beat.gone)
-            found.push_back({.host = id,
-                             .incarnation = known.beat.incarnation,
-                             .address = known.beat.address});
+    auto const mention = [&](std::map<host_id, peer>::const_iterator each)
+    {
+        if (!each->second.beat.gone)
+            found.push_back({.host = each->first,
+                             .incarnation = each->second.beat.incarnation,
+                             .address = each->second.beat.address});
+    };
+    if (auto const receiver = peers_.find(to); receiver != peers_.end())
+        mention(receiver);
+    auto const turns = std::min(options_.mentions, peers_.size());
+    for (std::size_t turn = 0; turn < turns; ++turn)
+    {
+        auto next = peers_.upper_bound(mentioned_);
+        if (next == peers_.end())
+            next = peers_.begin();
+        mentioned_ = next->first;
+        if (next->first != to)
+            mention(next);
+    }
     return found;
 }
 
+bool peer_table::is_reader(time_point now) const
+{
+    if (heard_hosts(now) <= options_.small_fleet)
+        return true;
+    auto const before =
+        std::count_if(peers_.begin(), peers_.end(),
+                      [&](auto const& entry)
+                      {
+                          auto const& beat = entry.second.beat;
+                          return beat.zone == self_.zone && !beat.leaving &&
+                                 entry.first < self_.host && heard(entry.first, now);
+                      });
+    return static_cast<std::size_t>(before) < options_.readers_per_zone;
+}
+
 std::size_t peer_table::heard_hosts(time_point now) const
 {
     return 1 + static_cast<std::size_t>(std::count_if(
@@ -162,6 +195,16 @@
                          .list_leaving = known.beat.leaving,
                          .acquainted = known.acquainted});
     }
+    for (auto const& [id, told] : hearsay_)
+        found.push_back({.record = {.host = id,
+                                    .zone = {},
+                                    .region = {},
+                                    .incarnation = told.first.incarnation,
+                                    .counter = 0,
+                                    .state = host_state::suspect},
+                         .listed = true,
+                         .list_leaving = false,
+                         .acquainted = false});
     return found;
 }
 
--- a/marjorampath/peer/peer_table.hpp
+++ b/marjorampath/peer/peer_table.hpp
@@ -58,10 +58,17 @@
     /// Where beats are sent to now: known hosts, and addresses that no host answered at.
     [[nodiscard]] std::vector<peer_address> targets(time_point now) const;
 
-    /// Hosts that were mentioned, for a beat.
-    [[nodiscard]] std::vector<peer_mention> mentions() const;
+    /// Hosts to mention in a beat to a host: the receiver, so that each knows what the
+    /// other knows of it, and some others in turn, so that beats do not grow with the
+    /// fleet. `to` is empty for an address where no host was heard yet.
+    [[nodiscard]] std::vector<peer_mention> mentions(host_id to);
 
-    /// All hosts as the lease machines see them, this one included.
+    /// Whether this host is one of those of its zone that read the store for the others.
+    [[nodiscard]] bool is_reader(time_point now) const;
+
+    /// All hosts as the lease machines see them: this one, those that were heard, and
+    /// those that others told of. A new process must count the latter, too: an older host
+    /// that is silent just now may still grant leases.
     [[nodiscard]] std::vector<known_host> known_hosts(time_point now) const;
 
     /// The hosts by identifier.
@@ -104,8 +111,12 @@
     std::map<peer_address, time_point> addresses_;
     // Settings
     peer_table_options options_;
-    // Other hosts
+    // Other hosts that were heard
     std::map<host_id, peer> peers_;
+    // Hosts that others told of and that were not heard yet, and when they are forgotten
+    std::map<host_id, std::pair<peer_mention, time_point>> hearsay_;
+    // Host that was mentioned last in turn
+    host_id mentioned_;
     // Hosts that were reported as silent
     std::map<host_id, bool> silent_;
 };
--- a/marjorampath/peer/peer_table_options.hpp
+++ b/marjorampath/peer/peer_table_options.hpp
@@ -2,6 +2,9 @@
 
 #include <marjorampath/core/time.hpp>
 
+#include <cstddef>
+#include <cstdint>
+
 namespace marjorampath
 {
 
@@ -14,6 +17,11 @@
     std::size_t small_fleet = 12;
     /// Beats that may be missed before a host counts as silent.
     std::uint32_t missed_beats = 5;
+    /// Hosts that one beat mentions beside its receiver.
+    std::size_t mentions = 8;
+    /// Hosts of each zone of a larger fleet that read the store; the others learn from
+    /// them. Two, so that the loss of one is not felt.
+    std::size_t readers_per_zone = 2;
     /// Time after which a silent host is forgotten. Longer than the partitions that the
     /// deployments' sheets name, so that both sides of one never hold a majority.
     duration forget_time = std::chrono::seconds(20);
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -57,7 +57,7 @@
   address @3 :PeerAddress;
   leaving @4 :Bool;
   gone @5 :Bool;
-  deploymentVersion @6 :UInt64;
+  operatorRevision @6 :UInt64;
   listingRevision @7 :UInt64;
   listingAge @8 :Int64;
   transit @9 :UInt32;
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -807,7 +807,7 @@
 
   inline bool getGone() const;
 
-  inline  ::uint64_t getDeploymentVersion() const;
+  inline  ::uint64_t getOperatorRevision() const;
 
   inline  ::uint64_t getListingRevision() const;
 
@@ -877,8 +877,8 @@
   inline bool getGone();
   inline void setGone(bool value);
 
-  inline  ::uint64_t getDeploymentVersion();
-  inline void setDeploymentVersion( ::uint64_t value);
+  inline  ::uint64_t getOperatorRevision();
+  inline void setOperatorRevision( ::uint64_t value);
 
   inline  ::uint64_t getListingRevision();
   inline void setListingRevision( ::uint64_t value);
@@ -1861,16 +1861,16 @@
       ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerBeat::Reader::getDeploymentVersion() const {
+inline  ::uint64_t PeerBeat::Reader::getOperatorRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerBeat::Builder::getDeploymentVersion() {
+inline  ::uint64_t PeerBeat::Builder::getOperatorRevision() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void PeerBeat::Builder::setDeploymentVersion( ::uint64_t value) {
+inline void PeerBeat::Builder::setOperatorRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -207,7 +207,7 @@
     auto beat = options_.self;
     beat.incarnation = peers_.incarnation();
     beat.gone = gone_;
-    beat.mentions = peers_.mentions();
+
     events_.fill(beat);
     return beat;
 }
@@ -219,7 +219,9 @@
     for (auto const& address : peers_.targets(now))
     {
         auto own = common;
-        if (auto const host = peers_.host_at(address))
+        auto const host = peers_.host_at(address);
+        own.mentions = peers_.mentions(host.value_or(host_id()));
+        if (host)
             events_.fill_for(own, *host);
         send(own, address);
     }
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -71,6 +71,9 @@
     /// at all where a datagram is lost.
     void ask_load(load_request const& request);
 
+    /// Sends beats to all hosts at once, as when there is news.
+    void beat();
+
     /// The fencing number for an order to an engine, right before it is written.
     [[nodiscard]] std::optional<std::uint64_t> may_order(endpoint_id engine) const;
 
@@ -118,8 +121,7 @@
     void take(load_reply const& reply);
     // Runs the lease machines and beats
     void tick();
-    // Sends beats to all hosts
-    void beat();
+
     // Tells the lease machines which hosts there are
     void update_hosts(time_point now);
     // Carries out what the lease holder decided
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -38,12 +38,15 @@
     /// Time between two listings of the endpoints: twice within the time in which a
     /// leaving endpoint must be known.
     duration listing_interval = std::chrono::milliseconds(800);
-    /// Longest wait of a watch; a connection that went silent shows after it.
-    std::chrono::milliseconds watch_wait{3'000};
+    /// Longest wait of a watch. One that was cut silently shows after it, which must be
+    /// well within the time in which a configuration is due in force.
+    std::chrono::milliseconds watch_wait{1'000};
     /// Pause behind a failed read.
     duration read_pause = std::chrono::milliseconds(300);
     /// Age of the own listing beyond which a peer's is read.
     duration relay_age = std::chrono::milliseconds(1'300);
+    /// What a peer's listing in another zone counts as older: bytes between zones cost.
+    duration other_zone_age = std::chrono::milliseconds(900);
     /// Time between two reports of an engine whose lease is held.
     duration report_interval = std::chrono::milliseconds(600);
     /// Time between two looks at what needs doing.
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -234,6 +234,14 @@
     boost::system::error_code ignored;
     while (!finished_)
     {
+        // Where other hosts of the zone read for all, this one reads from them
+        if (!fleet_.peers().is_reader(boot_now()) && context_.routes)
+        {
+            listing_timer_.expires_after(times_.listing_interval);
+            co_await listing_timer_.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            continue;
+        }
         auto listing = co_await source_.read_endpoints();
         if (finished_)
             break;
@@ -265,6 +273,14 @@
     boost::system::error_code ignored;
     while (!finished_)
     {
+        if (!fleet_.peers().is_reader(boot_now()) && context_.routes)
+        {
+            watched_revision_ = 0;
+            watch_timer_.expires_after(times_.read_pause);
+            co_await watch_timer_.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            continue;
+        }
         operator_news news;
         if (watched_revision_ == 0)
             news = co_await source_.read_operator();
@@ -328,6 +344,10 @@
                                              .window = settings_.retry_window,
                                              .extra = settings_.retry_extra});
     update_engines();
+
+    // Hosts that do not read the store hear of it at once
+    if (source == "store")
+        fleet_.beat();
 }
 
 template <entry_platform Platform>
@@ -404,27 +424,29 @@
 {
     // The host whose listing is newest, and any that has a newer configuration
     auto const now = boot_now();
-    auto const own_version = context_.routes ? context_.routes->source().version : 0;
+
     auto const own_age =
         catalog_.listed_at() ? now - *catalog_.listed_at() : duration::max();
     std::optional<peer_address> freshest;
     std::optional<peer_address> newest;
-    auto newest_version = own_version;
+    auto newest_revision = source_.operator_revision();
     auto freshest_age = duration::max();
     for (auto const& [host, known] : fleet_.peers().peers())
     {
         if (!fleet_.peers().heard(host, now))
             continue;
-        if (known.beat.deployment_version > newest_version)
+        if (known.beat.operator_revision > newest_revision)
         {
             newest = known.beat.address;
-            newest_version = known.beat.deployment_version;
+            newest_revision = known.beat.operator_revision;
         }
-        if (known.beat.listing_revision > catalog_.revision() &&
-            known.beat.listing_age < freshest_age)
+        auto age = known.beat.listing_age;
+        if (known.beat.zone != zone_id::of(settings_.zone))
+            age += times_.other_zone_age;
+        if (known.beat.listing_revision > catalog_.revision() && age < freshest_age)
         {
             freshest = known.beat.address;
-            freshest_age = known.beat.listing_age;
+            freshest_age = age;
         }
     }
     relaying_ = true;
@@ -550,7 +572,7 @@
 void entry_node<Platform>::fill(peer_beat& beat)
 {
     auto const now = boot_now();
-    beat.deployment_version = context_.routes ? context_.routes->source().version : 0;
+    beat.operator_revision = source_.operator_revision();
     beat.listing_revision = catalog_.revision();
     beat.listing_age = catalog_.listed_at() ? now - *catalog_.listed_at() : duration{0};
     beat.transit = planner_.transit(now);
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -70,6 +70,10 @@
     {
         source.read_relayed_endpoints(relayed)
         } -> std::same_as<endpoint_listing>;
+    // Revision of what is known of the operator
+    {
+        source.operator_revision()
+        } -> std::same_as<std::uint64_t>;
     // What the operator published, for another host, and its reading
     {
         source.relay_operator()
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -133,7 +133,7 @@
     encode(value.address, wire.initAddress());
     wire.setLeaving(value.leaving);
     wire.setGone(value.gone);
-    wire.setDeploymentVersion(value.deployment_version);
+    wire.setOperatorRevision(value.operator_revision);
     wire.setListingRevision(value.listing_revision);
     wire.setListingAge(encode_duration(value.listing_age));
     wire.setTransit(value.transit);
@@ -151,7 +151,7 @@
     decode(wire.getAddress(), value.address);
     value.leaving = wire.getLeaving();
     value.gone = wire.getGone();
-    value.deployment_version = wire.getDeploymentVersion();
+    value.operator_revision = wire.getOperatorRevision();
     value.listing_revision = wire.getListingRevision();
     value.listing_age = decode_duration(wire.getListingAge());
     value.transit = wire.getTransit();
--- a/serving/fleet/fleet.cpp
+++ b/serving/fleet/fleet.cpp
@@ -276,4 +276,14 @@
     peers_.close();
 }
 
+void fleet::drain()
+{
+    do
+    {
+        loop_.drain();
+        control_.restart();
+    } while (control_.poll() > 0);
+    loop_.drain();
+}
+
 } // namespace marjorampath::serving
--- a/serving/fleet/fleet.hpp
+++ b/serving/fleet/fleet.hpp
@@ -76,6 +76,10 @@
     /// Closes all connections.
     void close();
 
+    /// Runs the closed links out: what they still hold must end while the loop of the RPC
+    /// library exists. To be called behind `close`, when the control loop has stopped.
+    void drain();
+
 private:
     // Time between two ticks of all decisions
     static constexpr std::chrono::milliseconds tick_interval{20};
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -168,6 +168,14 @@
     control_.run();
     for (auto const& worker : workers_)
         worker->join();
+    if (!fleet_)
+        return;
+
+    // Nothing may ask the fleet any more once it is gone
+    fleet_->drain();
+    grants_ = local_grants_;
+    fencing_source_ = fencing_.as_source();
+    fleet_.reset();
 }
 
 void node::watch_signals()
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -96,8 +96,9 @@
     return line;
 }
 
-void child_process::signal(int number) const
+void child_process::signal(int number)
 {
+    killed_ = killed_ || number == SIGKILL;
     if (pid_ != 0)
         ::kill(pid_, number);
 }
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -43,8 +43,20 @@
         return first_line_;
     }
 
+    /// Whether it was not seen to end.
+    [[nodiscard]] bool running() const noexcept
+    {
+        return pid_ != 0;
+    }
+
     /// Sends a signal.
-    void signal(int number) const;
+    void signal(int number);
+
+    /// The status that it has to end with: 0, or -1 where it was killed.
+    [[nodiscard]] int expected_status() const noexcept
+    {
+        return killed_ ? -1 : 0;
+    }
 
     /// Waits for the end; the exit status, -1 after a signal, or nothing in time.
     std::optional<int> wait(std::chrono::milliseconds time);
@@ -58,6 +70,8 @@
 
     // Process number; zero once it has ended
     pid_t pid_ = 0;
+    // Whether it was killed on purpose
+    bool killed_ = false;
     // What it printed
     std::string first_line_;
     // Where it listens
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <fstream>
 #include <future>
+#include <memory>
+#include <vector>
 
 using namespace marjorampath::test;
 
@@ -98,4 +100,39 @@
     BOOST_TEST(fleet.engine_records("violation", "unload-while-serving").empty());
 }
 
+BOOST_AUTO_TEST_CASE(nodes_that_are_told_to_stop_while_busy_end_in_order)
+{
+    process_fleet fleet({.nodes = 3,
+                         .engines = 2,
+                         .engine_arguments = {"--token-ms", "10"},
+                         .joined = true});
+    find_owner(fleet, 3);
+    std::vector<std::unique_ptr<test_client>> callers;
+    for (std::size_t node = 0; node < 3; ++node)
+    {
+        callers.push_back(std::make_unique<test_client>(fleet.node(node).address()));
+        callers.back()->send("POST", "/dossier/v1/completions",
+                             completion_body("lot-1", "slow", 100, true));
+    }
+    for (auto const& each : callers)
+        BOOST_REQUIRE(each->read_events(2));
+
+    // A second signal changes nothing
+    for (int again = 0; again < 2; ++again)
+        for (std::size_t node = 0; node < 3; ++node)
+            fleet.node(node).signal(SIGTERM);
+    for (auto const& each : callers)
+        BOOST_TEST(each->read_answer().text() == expected_text("lot-1@v1", "slow", 100));
+    callers.clear();
+    fleet.stop_nodes();
+}
+
+BOOST_AUTO_TEST_CASE(a_node_that_is_told_to_stop_while_it_starts_ends_in_order)
+{
+    process_fleet fleet({.nodes = 1, .engines = 1});
+    fleet.start_node({});
+    fleet.node(1).signal(SIGTERM);
+    fleet.stop_nodes();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/process_fleet.cpp
+++ b/tests/process/process_fleet.cpp
@@ -1,9 +1,11 @@
 #include <tests/process/process_fleet.hpp>
 
 #include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
 
 #include <fmt/format.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
@@ -18,6 +20,8 @@
 namespace
 {
 
+// Time for a node to end: the notice, and the longest stream of a test
+constexpr auto stop_timeout = std::chrono::seconds(30);
 // Adapters of the service `dossier`
 constexpr int adapter_count = 8;
 
@@ -74,6 +78,7 @@
 
 process_fleet::~process_fleet()
 {
+    stop_nodes();
     nodes_.clear();
     engines_.clear();
     service_.reset();
@@ -85,6 +90,25 @@
         std::filesystem::remove_all(folder_, ignored);
 }
 
+void process_fleet::stop_nodes()
+{
+    for (auto const& node : nodes_)
+    {
+        node->signal(SIGCONT);
+        node->signal(SIGTERM);
+    }
+    for (std::size_t index = 0; index < nodes_.size(); ++index)
+    {
+        if (!nodes_[index]->running())
+            continue;
+        auto const status = nodes_[index]->wait(stop_timeout);
+        auto const expected = nodes_[index]->expected_status();
+        BOOST_TEST((status && *status == expected),
+                   "entry-" << index << " ended with " << status.value_or(-2)
+                            << " (-1: a signal, -2: not in time)");
+    }
+}
+
 std::string process_fleet::node_log(std::size_t index) const
 {
     std::ifstream log(file(fmt::format("entry-{}.log", index)));
@@ -116,11 +140,15 @@
 {
     auto const name = fmt::format("entry-{}", nodes_.size());
     auto const settings = file(name + ".yaml");
+    auto const own_notice =
+        added_settings.find("shutdown_notice_ms") != std::string::npos;
+    auto const* notice = own_notice ? "" : "shutdown_notice_ms: 300\n";
     write_file(settings, fmt::format("host: {}\nzone: zone-{}\nregion: region\n"
                                      "callers: 127.0.0.1:0\nconfiguration_service: {}\n"
-                                     "host_list: {}\nhost_list_interval_ms: 200\n{}",
+                                     "host_list: {}\nhost_list_interval_ms: 200\n"
+                                     "{}{}",
                                      name, nodes_.size(), configuration_->address_text(),
-                                     hosts_->address_text(), added_settings));
+                                     hosts_->address_text(), notice, added_settings));
     nodes_.push_back(std::make_unique<child_process>(
         "marjorampathd", std::vector<std::string>{"--settings", settings},
         file(name + ".log")));
--- a/tests/process/process_fleet.hpp
+++ b/tests/process/process_fleet.hpp
@@ -71,6 +71,13 @@
         return *configuration_;
     }
 
+    /// Starts one more node; `added_settings` are lines of its settings file.
+    void start_node(std::string const& added_settings);
+
+    /// Tells all nodes to stop and checks how they end: with status 0, but for those that
+    /// were killed. Done for each fleet at its end.
+    void stop_nodes();
+
     /// What a node has logged.
     [[nodiscard]] std::string node_log(std::size_t index) const;
 
@@ -104,9 +111,6 @@
     std::unique_ptr<child_process> start_standin(std::string const& kind,
                                                  std::vector<std::string> arguments);
 
-    // Starts one more node
-    void start_node(std::string const& added_settings);
-
     // Settings that join the nodes
     static std::string join_settings(std::size_t nodes);
 
--- /dev/null
+++ b/tests/unit/deployment/deployment_test.cpp
@@ -0,0 +1,116 @@
+#include <marjorampath/deployment/endpoint_catalog.hpp>
+#include <marjorampath/deployment/route_table.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+
+using namespace marjorampath;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+route make_route(std::string const& prefix, std::string const& service)
+{
+    return {.name = prefix,
+            .host = "a.example",
+            .prefix = prefix,
+            .services = {{.service = service_id::of(service), .weight = 1}}};
+}
+
+endpoint_announcement announce(std::string const& name, std::uint64_t revision,
+                               std::uint64_t born = 1)
+{
+    return {.id = endpoint_id::of(name),
+            .name = name,
+            .revision = revision,
+            .born = born,
+            .address = "127.0.0.1",
+            .port = 1};
+}
+
+time_point at(duration time)
+{
+    return time_point(1'000s) + time;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(deployments)
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_wins)
+{
+    auto source = std::make_shared<deployment>();
+    source->routes = {make_route("/a/", "one"), make_route("/a/b/", "two"),
+                      make_route("/", "root")};
+    route_table const table(source);
+    BOOST_TEST(table.find("a.example", "/a/b/c")->name == "/a/b/");
+    BOOST_TEST(table.find("a.example", "/a/bc")->name == "/a/");
+    BOOST_TEST(table.find("a.example", "/a/b")->name == "/a/");
+    BOOST_TEST(table.find("a.example", "/z")->name == "/");
+    BOOST_TEST(!table.find("b.example", "/a/b/c"));
+    BOOST_TEST(!table.find("a.example", ""));
+}
+
+BOOST_AUTO_TEST_CASE(weights_share_the_requests)
+{
+    auto split = make_route("/a/", "one");
+    split.services = {{.service = service_id::of("one"), .weight = 90},
+                      {.service = service_id::of("two"), .weight = 10}};
+    std::map<service_id, int> counts;
+    for (std::uint64_t draw = 0; draw < 1'000; ++draw)
+        ++counts[choose_service(split, draw)];
+    BOOST_TEST(counts[service_id::of("one")] == 900);
+    BOOST_TEST(counts[service_id::of("two")] == 100);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_listing_changes_nothing)
+{
+    endpoint_catalog catalog({});
+    catalog.take_listing(at(0s), 10, {announce("e", 10)});
+    BOOST_TEST(catalog.take_listing(at(1s), 9, {}).empty());
+    BOOST_TEST(catalog.find(endpoint_id::of("e")));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_endpoint_stays_so_until_it_starts_again)
+{
+    endpoint_catalog catalog({});
+    auto leaving = announce("e", 11);
+    leaving.draining = true;
+    catalog.take_listing(at(0s), 10, {announce("e", 10)});
+    auto const events = catalog.take_listing(at(1s), 11, {leaving});
+    BOOST_REQUIRE(events.size() == 1u);
+    BOOST_TEST((events[0].change == endpoint_change::draining));
+
+    catalog.take_listing(at(1500ms), 12, {announce("e", 12)});
+    BOOST_TEST(catalog.find(endpoint_id::of("e"))->draining);
+    catalog.take_listing(at(2s), 13, {announce("e", 13, 2)});
+    BOOST_TEST(!catalog.find(endpoint_id::of("e"))->draining);
+}
+
+BOOST_AUTO_TEST_CASE(entries_may_return_after_an_outage_and_are_gone_after_that)
+{
+    endpoint_catalog catalog({});
+    catalog.take_listing(at(0s), 10, {announce("e", 10), announce("f", 10)});
+
+    // The store was away, and both entries lapsed meanwhile
+    BOOST_TEST(catalog.take_listing(at(5s), 20, {}).empty());
+    catalog.take_listing(at(6s), 21, {announce("f", 21)});
+    auto const events = catalog.take_listing(at(7'500ms), 22, {announce("f", 22)});
+    BOOST_TEST(!catalog.find(endpoint_id::of("e")));
+    BOOST_TEST(catalog.find(endpoint_id::of("f")));
+    BOOST_TEST(events.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_entry_is_gone_at_once_while_the_store_answers)
+{
+    endpoint_catalog catalog({});
+    catalog.take_listing(at(0s), 10, {announce("e", 10)});
+    auto const events = catalog.take_listing(at(800ms), 11, {});
+    BOOST_REQUIRE(events.size() == 1u);
+    BOOST_TEST((events[0].change == endpoint_change::gone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/dispatch/dispatcher_test.cpp
@@ -0,0 +1,334 @@
+#include <marjorampath/dispatch/dispatcher.hpp>
+#include <marjorampath/dispatch/event_splitter.hpp>
+#include <marjorampath/dispatch/retry_budget.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <random>
+#include <set>
+#include <vector>
+
+using namespace marjorampath;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t engine_count = 4;
+
+// A dispatcher before engines of one service
+struct dispatch_fixture
+{
+    dispatch_fixture()
+    {
+        dispatch.set_services({{.id = service,
+                                .name = "models",
+                                .engine = engine_definition{.slots = 64,
+                                                            .cache_tokens = 232'000,
+                                                            .adapter_slots = 8,
+                                                            .models = {{.name = "m"}}}}});
+        for (std::uint32_t index = 0; index < engine_count; ++index)
+            announce(index);
+    }
+
+    static endpoint_id engine(std::uint32_t index)
+    {
+        return endpoint_id::of(fmt::format("engine-{}", index));
+    }
+
+    void announce(std::uint32_t index, endpoint_change change = endpoint_change::appeared)
+    {
+        dispatch.on_endpoint({.change = change,
+                              .endpoint = {.id = engine(index),
+                                           .name = fmt::format("engine-{}", index),
+                                           .born = 1,
+                                           .service = service,
+                                           .zone = zone_id::of("z"),
+                                           .slots = 64,
+                                           .models = {"m"}}},
+                             now);
+    }
+
+    // The lease holders report which engine holds which adapters
+    void report(std::uint32_t index, std::vector<adapter_status> adapters,
+                std::uint32_t free_places = 1)
+    {
+        dispatch.on_status({.endpoint = engine(index),
+                            .born = 1,
+                            .orderable = true,
+                            .free_places = free_places,
+                            .models = {"m"},
+                            .adapters = std::move(adapters)},
+                           now);
+    }
+
+    call request(std::string const& adapter, std::uint32_t tokens = 1'000) const
+    {
+        return {.id = request_id(1),
+                .service = service,
+                .kind = call_kind::stream,
+                .model = "m",
+                .adapter = adapter,
+                .prompt_tokens = tokens,
+                .output_tokens = 50,
+                .objective = 1s,
+                .deadline = now + 6s};
+    }
+
+    service_id service = service_id::of("models");
+    time_point now{1'000s};
+    dispatcher dispatch{zone_id::of("z"), {.seed = 7}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(dispatching, dispatch_fixture)
+
+BOOST_AUTO_TEST_CASE(a_request_goes_to_the_engine_that_holds_its_adapter)
+{
+    report(2, {{.name = "m/a1"}});
+    auto const decision = dispatch.decide(request("m/a1"), {}, now);
+    BOOST_TEST((decision.act == dispatch_act::send));
+    BOOST_TEST((decision.endpoint == engine(2)));
+}
+
+BOOST_AUTO_TEST_CASE(an_adapter_that_is_nowhere_is_asked_for_once)
+{
+    for (std::uint32_t index = 0; index < engine_count; ++index)
+        report(index, {});
+    auto const first = dispatch.decide(request("m/a1"), {}, now);
+    BOOST_TEST((first.act == dispatch_act::wait));
+    BOOST_REQUIRE(first.load);
+
+    // The next request for it waits for the same load
+    auto const second = dispatch.decide(request("m/a1"), {}, now + 5ms);
+    BOOST_TEST((second.act == dispatch_act::wait));
+    BOOST_TEST(!second.load);
+
+    dispatch.on_load_reply({.endpoint = first.load->endpoint,
+                            .adapter = "m/a1",
+                            .accepted = true,
+                            .ready_in = 250ms},
+                           now + 10ms);
+    auto const third = dispatch.decide(request("m/a1"), {}, now + 20ms);
+    BOOST_TEST((third.act == dispatch_act::wait));
+    now += 300ms;
+    auto const fourth = dispatch.decide(request("m/a1"), {}, now);
+    BOOST_TEST((fourth.act == dispatch_act::send));
+    BOOST_TEST((fourth.endpoint == first.load->endpoint));
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_load_is_asked_for_elsewhere_and_then_refused_at_once)
+{
+    for (std::uint32_t index = 0; index < engine_count; ++index)
+        report(index, {});
+    std::set<endpoint_id> asked;
+    for (std::uint32_t turn = 0; turn < engine_count; ++turn)
+    {
+        auto const decision = dispatch.decide(request("m/a1"), {}, now);
+        BOOST_REQUIRE(decision.load);
+        asked.insert(decision.load->endpoint);
+        dispatch.on_load_reply({.endpoint = decision.load->endpoint, .adapter = "m/a1"},
+                               now);
+    }
+    BOOST_TEST(asked.size() == engine_count);
+    auto const last = dispatch.decide(request("m/a1"), {}, now);
+    BOOST_TEST((last.act == dispatch_act::refuse));
+    BOOST_TEST((last.reason == error_kind::no_endpoint));
+    BOOST_TEST((last.retry_after > 0ms));
+}
+
+// The load pattern: a slow store makes every expected time long. Asking for a copy at
+// each look then loads the adapter everywhere and makes the store slower still.
+BOOST_AUTO_TEST_CASE(a_load_on_its_way_asks_for_no_further_copies)
+{
+    for (std::uint32_t index = 0; index < engine_count; ++index)
+        report(index, {});
+    report(0, {{.name = "m/a1", .ready_in = 1'500ms}});
+    for (int look = 0; look < 50; ++look)
+    {
+        auto const decision = dispatch.decide(request("m/a1"), {}, now);
+        BOOST_TEST(!decision.load);
+        now += 10ms;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_long_queue_at_the_only_copy_asks_for_a_second_one)
+{
+    for (std::uint32_t index = 0; index < engine_count; ++index)
+        report(index, {});
+    report(0, {{.name = "m/a1"}});
+    auto const heavy = request("m/a1", 9'000);
+    bool asked = false;
+    for (int sent = 0; sent < 5 && !asked; ++sent)
+    {
+        auto const decision = dispatch.decide(heavy, {}, now);
+        BOOST_TEST((decision.act == dispatch_act::send));
+        dispatch.on_sent(heavy, decision.endpoint, now);
+        asked = decision.load.has_value();
+    }
+    BOOST_TEST(asked);
+}
+
+BOOST_AUTO_TEST_CASE(what_would_wait_for_a_multiple_of_its_objective_is_refused_at_once)
+{
+    report(0, {{.name = "m/a1"}});
+    auto const heavy = request("m/a1", 30'000);
+    dispatch_decision decision;
+    int sent = 0;
+    for (; sent < 20; ++sent)
+    {
+        decision = dispatch.decide(heavy, {}, now);
+        if (decision.act != dispatch_act::send)
+            break;
+        dispatch.on_sent(heavy, decision.endpoint, now);
+    }
+    BOOST_TEST(sent < 20);
+    BOOST_TEST((decision.act == dispatch_act::refuse));
+    BOOST_TEST((decision.reason == error_kind::deadline_unreachable));
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_adapter_is_not_believed_from_older_reports)
+{
+    report(0, {{.name = "m/a1"}});
+    report(1, {{.name = "m/a1"}});
+    auto const asked = request("m/a1");
+    auto const first = dispatch.decide(asked, {}, now);
+    dispatch.on_sent(asked, first.endpoint, now);
+    dispatch.on_ended(asked, first.endpoint, call_end::adapter_missing, false, now);
+    auto const second = dispatch.decide(asked, {}, now + 1ms);
+    BOOST_TEST((second.act == dispatch_act::send));
+    BOOST_TEST((second.endpoint != first.endpoint));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_load_is_tried_again_more_and_more_rarely)
+{
+    report(0, {});
+    auto const asked = request("m/a1");
+    dispatch.on_load_reply(
+        {.endpoint = engine(0), .adapter = "m/a1", .accepted = true, .ready_in = 250ms},
+        now);
+    std::vector<duration> pauses;
+    for (int look = 0; look < 3; ++look)
+    {
+        auto const begin = now;
+        auto decision = dispatch.decide(asked, {}, now);
+        while (decision.act == dispatch_act::wait)
+        {
+            now = std::max(decision.recheck, now + 1ms);
+            decision = dispatch.decide(asked, {}, now);
+        }
+        BOOST_REQUIRE((decision.act == dispatch_act::send));
+        pauses.push_back(now - begin);
+        dispatch.on_sent(asked, decision.endpoint, now);
+        dispatch.on_ended(asked, decision.endpoint, call_end::refused, false, now);
+    }
+    BOOST_TEST((pauses[1] < pauses[2]));
+}
+
+BOOST_AUTO_TEST_CASE(an_unreachable_endpoint_is_left_alone_for_a_while)
+{
+    report(0, {{.name = "m/a1"}});
+    auto const asked = request("m/a1");
+    dispatch.on_sent(asked, engine(0), now);
+    dispatch.on_ended(asked, engine(0), call_end::unreachable, false, now);
+    BOOST_TEST(dispatch.usable_endpoints(service, now) == engine_count - 1);
+    BOOST_TEST(dispatch.usable_endpoints(service, now + 5s) == engine_count);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_endpoint_gets_nothing)
+{
+    report(0, {{.name = "m/a1"}});
+    dispatch.on_endpoint({.change = endpoint_change::draining,
+                          .endpoint = {.id = engine(0),
+                                       .name = "engine-0",
+                                       .born = 1,
+                                       .service = service,
+                                       .draining = true,
+                                       .models = {"m"}}},
+                         now);
+    BOOST_TEST((dispatch.decide(request("m/a1"), {}, now).endpoint != engine(0)));
+}
+
+BOOST_AUTO_TEST_CASE(an_old_version_is_not_used_once_a_newer_one_is_announced)
+{
+    report(0, {{.name = "m/a1", .version = 1}});
+    dispatch.on_version("m/a1", 2, now);
+    auto const decision = dispatch.decide(request("m/a1"), {}, now);
+    BOOST_TEST((decision.act != dispatch_act::send));
+}
+
+BOOST_AUTO_TEST_CASE(counts_return_to_zero_whatever_happens)
+{
+    constexpr std::uint32_t seed = 20261204;
+    BOOST_TEST_MESSAGE("seed " << seed);
+    std::mt19937 random(seed);
+    report(0, {{.name = "m/a1"}});
+    auto const asked = request("m/a1");
+    for (int turn = 0; turn < 2'000; ++turn)
+    {
+        auto const end = static_cast<call_end>(random() % 10);
+        auto const begun = random() % 2 == 0;
+        dispatch.on_sent(asked, engine(0), now);
+        if (begun)
+            dispatch.on_first_event(asked, engine(0));
+        dispatch.on_ended(asked, engine(0), end, begun, now);
+        now += 10ms;
+    }
+    auto const* load = dispatch.find(engine(0));
+    BOOST_TEST(load->in_flight == 0u);
+    BOOST_TEST(load->waiting_tokens == 0u);
+    BOOST_TEST(load->tokens == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(the_hosts_together_keep_the_bound_on_repeats)
+{
+    constexpr std::size_t hosts = 6;
+    constexpr double ratio = 0.2;
+    constexpr double extra = 52;
+    std::vector<retry_budget> budgets(
+        hosts, retry_budget({.ratio = ratio, .window = 10s, .extra = extra}));
+
+    // Each request fails and wants three repeats, on hosts of very uneven load
+    int requests = 0;
+    int repeats = 0;
+    for (int step = 0; step < 1'000; ++step)
+    {
+        auto& budget = budgets[static_cast<std::size_t>(step % 10 == 0 ? step % 6 : 0)];
+        budget.on_request(now);
+        ++requests;
+        for (int again = 0; again < 3; ++again)
+            repeats += budget.take(now, hosts) ? 1 : 0;
+        now += 9ms;
+    }
+    BOOST_TEST(repeats <= ratio * requests + extra);
+    BOOST_TEST(repeats > ratio * requests / 2);
+}
+
+BOOST_AUTO_TEST_CASE(only_whole_events_are_passed_on_and_each_once)
+{
+    event_splitter events({});
+    std::string output;
+    BOOST_TEST(events.push("id: 1\ndata: a\n\nid: 2\nda", output));
+    BOOST_TEST(output == "id: 1\ndata: a\n\n");
+    BOOST_TEST(events.in_event());
+
+    // The stream goes on elsewhere behind the last whole event, or before it
+    events.restart();
+    output.clear();
+    BOOST_TEST(events.push("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", output));
+    BOOST_TEST(output == "id: 2\ndata: b\n\n");
+    BOOST_TEST(events.last_id().value() == 2u);
+    BOOST_TEST(events.passed() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_bounded)
+{
+    event_splitter events({.max_event_bytes = 100});
+    std::string output;
+    BOOST_TEST(!events.push(std::string(101, 'x'), output));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform/platform_test.cpp
@@ -0,0 +1,278 @@
+#include <boost/beast/http/parser.hpp>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <memory>
+#include <platform/engine_client.hpp>
+#include <platform/request_dialect.hpp>
+#include <platform/store_codec.hpp>
+#include <random>
+
+using namespace marjorampath;
+using namespace marjorampath::platform;
+using namespace std::chrono_literals;
+namespace http = boost::beast::http;
+using serving::endpoint_verdict;
+
+namespace
+{
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","prefix":"/s/","type":"streaming","timeoutMs":12000,
+  "goalMs":1000,"priority":1,"service":"models","maxAttempts":2,"sticky":true,
+  "resumable":true,"gapGoalMs":600},
+ {"name":"r2","host":"a.example","prefix":"/u/","type":"unsafe","timeoutMs":2000,
+  "goalMs":300,"split":[{"service":"plain","weight":90},{"service":"other","weight":10}],
+  "maxAttempts":1}],
+ "services":[{"name":"models","healthPath":"/healthz","maxConns":360,"engine":{"slots":64,
+  "kvCapacity":232000,"models":[{"name":"m","weightsMb":65099.9,"loadS":1.9,
+  "adapters":3000,"adapterMb":12.0}],"weightsMb":66500.0,"adapterSlots":8,
+  "loadsPerS":2.1}},{"name":"plain","maxConns":96}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000},"unknown":[1,2]})";
+
+std::shared_ptr<route_table const> make_routes()
+{
+    return std::make_shared<route_table const>(
+        std::make_shared<deployment const>(*read_deployment(configuration)));
+}
+
+serving::caller_message make_message(std::string const& target)
+{
+    serving::caller_message message(http::verb::post, target, 11);
+    message.set("Host", "a.example");
+    message.set("X-Attempt-Id", "9c41");
+    message.set("X-Deadline-Ms", "4000");
+    message.set("X-Model", "m/a3");
+    message.set("X-Token-Count", "1460,80");
+    message.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    message.body() = "{}";
+    message.prepare_payload();
+    return message;
+}
+
+serving::answer_reader::head
+make_head(unsigned status, std::vector<std::pair<char const*, char const*>> fields)
+{
+    serving::answer_reader::head head;
+    head.result(status);
+    for (auto const& [name, value] : fields)
+        head.set(name, value);
+    return head;
+}
+
+store_item endpoint_item(std::string const& value)
+{
+    return {.key = "servers/i-1", .value = value, .revision = 5};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(users_platform)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read)
+{
+    auto const read = read_deployment(configuration);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->version == 7u);
+    BOOST_TEST((read->routes.at(0).kind == call_kind::resumable_stream));
+    BOOST_TEST((read->routes.at(0).timeout == 12s));
+    BOOST_TEST((read->routes.at(1).kind == call_kind::unsafe));
+    BOOST_TEST(read->routes.at(1).services.size() == 2u);
+    BOOST_TEST(read->services.at(0).engine->adapter_slots == 8u);
+    BOOST_TEST(read->services.at(0).engine->models.at(0).name == "m");
+    BOOST_TEST(!read->services.at(1).engine);
+    BOOST_TEST((read->bounds.idle_timeout == 15s));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_configuration_is_not_taken)
+{
+    for (auto const* text : {"", "[]", "{", R"({"version":"x"})", R"({"version":1})",
+                             R"({"version":-1,"routes":[],"services":[]})"})
+        BOOST_TEST(!read_deployment(text), text);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_is_read)
+{
+    auto const read = read_endpoint(endpoint_item(
+        R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":64,
+            "state":"ready","coldLeftMs":0,"born":17,"remainingMs":1500,
+            "models":[{"name":"m","version":1,"adapters":["a3@2","a4@1"]}]})"));
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->name == "i-1");
+    BOOST_TEST(read->address == "10.1.0.9");
+    BOOST_TEST(read->port == 8080);
+    BOOST_TEST(read->born == 17u);
+    BOOST_TEST((read->remaining == 1'500ms));
+    BOOST_TEST(read->models.at(0) == "m");
+    BOOST_TEST(read->adapters.at(0).name == "m/a3");
+    BOOST_TEST(read->adapters.at(0).version == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_entries_name_no_endpoint)
+{
+    for (auto const* value :
+         {"", "\xff\xfe", "[]", R"({"service":"s"})",
+          R"({"service":5,"address":"10.1.0.9:1","zone":"z","state":"ready"})",
+          R"({"service":"s","address":"10.1.0.9","zone":"z","state":"ready"})",
+          R"({"service":"s","address":"10.1.0.9:99999","zone":"z","state":"ready"})",
+          R"({"service":"s","address":"10.1.0.9:80","zone":"z","state":"odd"})"})
+        BOOST_TEST(!read_endpoint(endpoint_item(value)), value);
+}
+
+BOOST_AUTO_TEST_CASE(pages_keep_what_can_be_read)
+{
+    auto const page = read_page(
+        R"({"items":[{"key":"op/x","value":"aGk=","revision":4},{"key":"b","revision":"x"},
+            {"key":"c","value":"***","revision":5},7],"truncated":true,"currentRev":9})",
+        "items");
+    BOOST_REQUIRE(page);
+    BOOST_TEST(page->revision == 9u);
+    BOOST_TEST(page->truncated);
+    BOOST_REQUIRE(page->items.size() == 1u);
+    BOOST_TEST(page->items[0].value == "hi");
+    auto const events = read_page(
+        R"({"events":[{"key":"k","revision":3,"deleted":true}],"currentRev":3})",
+        "events");
+    BOOST_TEST(events->items.at(0).removed);
+    BOOST_TEST(!read_page("{}", "items"));
+}
+
+BOOST_AUTO_TEST_CASE(random_bytes_are_no_page)
+{
+    constexpr std::uint32_t seed = 11;
+    BOOST_TEST_MESSAGE("seed " << seed);
+    std::mt19937 random(seed);
+    for (int turn = 0; turn < 3'000; ++turn)
+    {
+        std::string text(configuration);
+        for (int change = 0; change < 4; ++change)
+            text[random() % text.size()] = static_cast<char>(random());
+        read_deployment(text);
+        read_page(text, "items");
+        read_endpoint(endpoint_item(text));
+        engine_client::parse_report(text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_read)
+{
+    auto const routes = make_routes();
+    time_point const now(1'000s);
+    auto const read =
+        request_dialect::read_request(make_message("/s/2f?x=1"), routes, now);
+    auto const& request = std::get<serving::entry_request>(read);
+    BOOST_TEST(request.name == "9c41");
+    BOOST_TEST(request.matched->name == "r1");
+    BOOST_TEST(request.asked.model == "m");
+    BOOST_TEST(request.asked.adapter == "m/a3");
+    BOOST_TEST(request.asked.prompt_tokens == 1460u);
+    BOOST_TEST(request.asked.output_tokens == 80u);
+    BOOST_TEST(request.asked.parts.size() == 3u);
+    BOOST_TEST(request.asked.parts.at(0).id == 0x5c1e07a2u);
+    BOOST_TEST((request.asked.deadline == now + 4s));
+}
+
+BOOST_AUTO_TEST_CASE(unknown_routes_are_refused_only_where_the_routes_are_known)
+{
+    time_point const now(1'000s);
+    auto const kind =
+        [&](std::string const& target, std::shared_ptr<route_table const> const& routes)
+    {
+        return std::get<error_kind>(
+            request_dialect::read_request(make_message(target), routes, now));
+    };
+    BOOST_TEST((kind("/none/", make_routes()) == error_kind::no_such_route));
+    BOOST_TEST((kind("/s/", nullptr) == error_kind::no_sheet));
+    BOOST_TEST(answer_of(error_kind::no_sheet).http_status == 503u);
+}
+
+BOOST_AUTO_TEST_CASE(what_only_the_system_sets_is_dropped_from_what_callers_send)
+{
+    auto message = make_message("/s/2f");
+    for (auto const* name : {"X-Queue-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+                             "X-Request-Priority", "X-Expect-Instance", "Connection"})
+        message.set(name, "9");
+    auto const sent = request_dialect::endpoint_message(
+        message, {.name = "i-7"}, {.left = 1'234ms, .version = 3, .priority = 12});
+    for (auto const* name : {"X-Queue-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From"})
+        BOOST_TEST(sent.count(name) == 0u, name);
+    BOOST_TEST(sent["X-Expect-Instance"] == "i-7");
+    BOOST_TEST(sent["X-Deadline-Ms"] == "1234");
+    BOOST_TEST(sent["X-Expect-Version"] == "3");
+    BOOST_TEST(sent["X-Request-Priority"] == "9");
+    BOOST_TEST(sent["X-Attempt-Id"] == "9c41");
+    BOOST_TEST(sent["X-Prompt-Prefix"] == message["X-Prompt-Prefix"]);
+    BOOST_TEST(sent.body() == message.body());
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoints_head_is_judged)
+{
+    struct example
+    {
+        serving::answer_reader::head head;
+        endpoint_verdict verdict;
+    };
+    std::vector<example> const examples{
+        {make_head(200, {{"X-Attempt-Id", "9c41"}, {"X-Server-Seal", "s"}}),
+         endpoint_verdict::success},
+        {make_head(500, {{"X-Attempt-Id", "9c41"}, {"X-Server-Seal", "s"}}),
+         endpoint_verdict::failure},
+        {make_head(200, {{"X-Attempt-Id", "other"}, {"X-Server-Seal", "s"}}),
+         endpoint_verdict::other_request},
+        {make_head(200, {{"X-Attempt-Id", "9c41"}}), endpoint_verdict::garbled},
+        {make_head(503, {{"X-Not-Executed", "1"}}), endpoint_verdict::refused},
+        {make_head(503, {}), endpoint_verdict::garbled},
+        {make_head(421, {{"X-Instance-Id", "i-9"}}), endpoint_verdict::another_instance},
+        {make_head(421, {{"X-Instance-Id", "i-7"}}), endpoint_verdict::adapter_missing},
+    };
+    for (auto const& each : examples)
+        BOOST_TEST((request_dialect::judge(each.head, "9c41", "i-7") == each.verdict));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_tells_when_to_come_back)
+{
+    auto const answer = request_dialect::error_answer(
+        {.kind = error_kind::no_endpoint, .message = {}, .retry_after = 1'250ms}, "9c41");
+    BOOST_TEST(answer.result_int() == 503u);
+    BOOST_TEST(answer["Retry-After"] == "1.25");
+    BOOST_TEST(answer["X-Attempt-Id"] == "9c41");
+    BOOST_TEST(answer.count("X-Server-Seal") == 0u);
+
+    // A kind that does not promise that nothing ran keeps a status that promises nothing
+    BOOST_TEST(request_dialect::error_answer({.kind = error_kind::endpoint_lost}, "")
+                   .result_int() == 502u);
+    BOOST_TEST(request_dialect::error_answer({.kind = error_kind::quarantined}, "")
+                   .result_int() == 503u);
+}
+
+BOOST_AUTO_TEST_CASE(orders_and_reports_speak_the_engines_language)
+{
+    boost::asio::io_context loop;
+    serving::connection_pool pool(loop.get_executor(), {});
+    engine_client const client(pool, "h1");
+    auto const body =
+        boost::json::parse(client.order_body({.kind = order_kind::load_adapter,
+                                              .model = "m",
+                                              .adapter = "m/a3",
+                                              .version = 2,
+                                              .fencing_number = 41}));
+    BOOST_TEST(body.at("operation").as_string() == "load");
+    BOOST_TEST(body.at("model").as_string() == "m");
+    BOOST_TEST(body.at("adapter").as_string() == "a3");
+    BOOST_TEST(body.at("holder").as_string() == "h1");
+    BOOST_TEST(body.at("fencingToken").to_number<int>() == 41);
+
+    auto const report = engine_client::parse_report(
+        R"({"stage":"combined","models":[{"name":"m","version":1,"adapters":["a3@2"]}],
+            "busy":true,"sequence":2,"born":17,"pending":["m/a4@1"]})");
+    BOOST_REQUIRE(report);
+    BOOST_TEST(report->busy);
+    BOOST_TEST(report->born == 17u);
+    BOOST_TEST(report->adapters.at(0).name == "m/a3");
+    BOOST_TEST(report->coming.at(0).name == "m/a4");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
