Send less to an engine that stays mute, and count first answers of plain requests

Change: an endpoint that has left a request unanswered for far longer than its queue explains counts as slow; first answers of every kind end the wait.

--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -196,6 +196,16 @@
     return from_ms(objective_ms * (load.failure_rate + load.refusal_rate));
 }
 
+duration dispatcher::silence_cost(endpoint_load const& load, duration objective,
+                                  time_point now) const
+{
+    auto longest = duration{0};
+    for (auto const& [id, sent_at] : load.unanswered)
+        longest = std::max(longest, now - sent_at);
+    auto const tolerated = objective * 2 + queue_time(load) * 2;
+    return longest > tolerated ? longest : duration{0};
+}
+
 adapter_belief const* dispatcher::belief(endpoint_load const& load,
                                          std::string const& adapter)
 {
@@ -225,7 +235,8 @@
             !load.breaker.allows(now) ||
             std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
-        auto expected = failure_cost(load, request.objective);
+        auto expected = failure_cost(load, request.objective) +
+                        silence_cost(load, request.objective, now);
         if (announced.zone != zone_)
             expected += options_.other_zone_cost;
         found.push_back({.load = &load,
@@ -460,6 +471,7 @@
         return;
     auto& load = found->second;
     ++load.in_flight;
+    load.unanswered[request.id] = now;
     load.breaker.granted();
     load.waiting_tokens += request.prompt_tokens;
     load.tokens += request.prompt_tokens + request.output_tokens;
@@ -481,6 +493,7 @@
     auto const found = loads_.find(endpoint);
     if (found == loads_.end())
         return;
+    found->second.unanswered.erase(request.id);
     auto& waiting = found->second.waiting_tokens;
     waiting -= std::min<std::uint64_t>(waiting, request.prompt_tokens);
 }
@@ -519,6 +532,7 @@
     if (!begun)
         on_first_event(request, endpoint);
     auto& load = found->second;
+    load.unanswered.erase(request.id);
     load.in_flight -= std::min<std::uint32_t>(load.in_flight, 1);
     auto const tokens =
         static_cast<std::uint64_t>(request.prompt_tokens) + request.output_tokens;
--- a/marjorampath/dispatch/dispatcher.hpp
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -142,6 +142,11 @@
     [[nodiscard]] static duration failure_cost(endpoint_load const& load,
                                                duration objective);
 
+    // Extra time that an endpoint counts which has left a request without any answer for
+    // far longer than its queue explains: it may be mute while its health is good
+    [[nodiscard]] duration silence_cost(endpoint_load const& load, duration objective,
+                                        time_point now) const;
+
     // Belief in an adapter at an engine, or null where it is absent
     [[nodiscard]] static adapter_belief const* belief(endpoint_load const& load,
                                                       std::string const& adapter);
--- a/marjorampath/dispatch/endpoint_load.hpp
+++ b/marjorampath/dispatch/endpoint_load.hpp
@@ -79,6 +79,8 @@
     std::map<std::string, asked_load> asked_loads;
     /// Prompt parts sent here, by hash of adapter and part, and when.
     std::unordered_map<std::uint64_t, time_point> parts;
+    /// Requests that have had no first event yet, and when they were sent.
+    std::map<request_id, time_point> unanswered;
     /// Failures in a row.
     circuit_breaker breaker;
     /// Part of the recent answers that were failures, 0 to 1.
--- a/marjorampath/peer/peer_table.cpp
+++ b/marjorampath/peer/peer_table.cpp
@@ -6,7 +6,7 @@
 namespace marjorampath
 {
 
-peer_table::peer_table(peer_beat self, std::vector<peer_address> seeds,
+peer_table::peer_table(peer_beat self, std::vector<peer_address> const& seeds,
                        peer_table_options options)
     : self_(std::move(self)), options_(options)
 {
--- a/marjorampath/peer/peer_table.hpp
+++ b/marjorampath/peer/peer_table.hpp
@@ -45,7 +45,7 @@
 {
 public:
     /// Makes a table that knows this host and the addresses to begin with.
-    peer_table(peer_beat self, std::vector<peer_address> seeds,
+    peer_table(peer_beat self, std::vector<peer_address> const& seeds,
                peer_table_options options);
 
     /// Takes a beat.
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -453,6 +453,7 @@
     lift_limit();
     held_answer answer{.head = Dialect::caller_head(reader.get_head()), .body = {}};
     begun_ = true;
+    context_->dispatch.on_first_event(request_.asked, present_);
     context_->metrics.shard.latency(first_byte_metric)
         .record(std::chrono::duration<double>(boot_now() - begin_).count());
     if (co_await reader.read_rest(answer.body, max_held_bytes))
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -94,10 +94,10 @@
     auto message = decode_peer_message(bytes);
     if (!message)
         return;
-    std::visit([this](auto& each) { take(std::move(each)); }, *message);
+    std::visit([this](auto const& each) { take(each); }, *message);
 }
 
-void entry_fleet::take(peer_beat beat)
+void entry_fleet::take(peer_beat const& beat)
 {
     auto const now = boot_now();
     auto const host = beat.host;
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -113,7 +113,7 @@
     // Takes a datagram
     void take(std::string_view bytes);
     // Takes one kind of message
-    void take(peer_beat beat);
+    void take(peer_beat const& beat);
     void take(lease_request const& request);
     void take(lease_reply const& reply);
     void take(lease_release const& release);
--- a/tests/unit/dispatch/dispatcher_test.cpp
+++ b/tests/unit/dispatch/dispatcher_test.cpp
@@ -271,6 +271,27 @@
     BOOST_TEST(dispatch.usable_endpoints(service, now + 5s) == engine_count);
 }
 
+// The load pattern: an engine takes requests, answers its health check, and stays mute.
+BOOST_AUTO_TEST_CASE(an_engine_that_stays_mute_gets_less_before_any_request_failed)
+{
+    report(0, {{.name = "m/a1"}});
+    auto const mute = request("m/a1");
+    dispatch.on_sent(mute, engine(0), now);
+    now += 2'300ms;
+    report(0, {{.name = "m/a1"}});
+    report(1, {{.name = "m/a1"}});
+    auto other = request("m/a1");
+    other.id = request_id(2);
+    for (int sent = 0; sent < 5; ++sent)
+        BOOST_TEST((dispatch.decide(other, {}, now).endpoint == engine(1)));
+
+    // Its first event ends the suspicion
+    dispatch.on_first_event(mute, engine(0));
+    dispatch.on_ended(mute, engine(0), call_end::finished, true, now);
+    dispatch.on_sent(other, engine(1), now);
+    BOOST_TEST((dispatch.decide(request("m/a1"), {}, now).endpoint == engine(0)));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_endpoint_gets_nothing)
 {
     report(0, {{.name = "m/a1"}});
