--- /dev/null
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -0,0 +1,404 @@
+#include <serving/caller/caller_listener.hpp>
+#include <serving/clock/boot_time.hpp>
+#include <serving/entry/entry_exchange.hpp>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <memory>
+#include <platform/request_dialect.hpp>
+#include <vector>
+
+using namespace marjorampath;
+using namespace marjorampath::serving;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+// What an endpoint does with one request
+struct scripted_answer
+{
+    // Bytes that it sends
+    std::string text;
+    // Whether it closes the connection behind them; else it stays silent
+    bool closes = true;
+};
+
+// An endpoint that answers each request by the next part of a script
+class scripted_server
+{
+public:
+    scripted_server(asio::io_context& loop, std::deque<scripted_answer> answers)
+        : acceptor_(loop, {asio::ip::address_v4::loopback(), 0}),
+          answers_(std::move(answers))
+    {
+        asio::co_spawn(loop, accept(), asio::detached);
+    }
+
+    [[nodiscard]] tcp::endpoint address() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+    // Requests that came
+    std::vector<caller_message> requests;
+    // Connections that the other side closed while the server was silent
+    int abandoned = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        while (true)
+            asio::co_spawn(acceptor_.get_executor(),
+                           serve(co_await acceptor_.async_accept(asio::use_awaitable)),
+                           asio::detached);
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        error_code error;
+        while (!answers_.empty())
+        {
+            caller_message request;
+            co_await http::async_read(socket, buffer, request,
+                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            requests.push_back(request);
+            auto const answer = answers_.front();
+            answers_.pop_front();
+            co_await asio::async_write(socket, asio::buffer(answer.text),
+                                       asio::redirect_error(asio::use_awaitable, error));
+            if (answer.closes)
+                co_return;
+            if (!answer.text.empty())
+                continue;
+            char byte = 0;
+            co_await socket.async_read_some(
+                asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+            abandoned += error ? 1 : 0;
+            co_return;
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    std::deque<scripted_answer> answers_;
+};
+
+std::string sealed(std::string const& body, std::string const& more = {},
+                   std::string const& id = "9c41")
+{
+    return fmt::format("HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: s\r\n"
+                       "Content-Length: {}\r\n{}\r\n{}",
+                       id, body.size(), more, body);
+}
+
+std::string chunk(std::string const& text)
+{
+    return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+
+std::string stream_head()
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string events(unsigned first, unsigned last)
+{
+    std::string text;
+    for (auto id = first; id <= last; ++id)
+        text += fmt::format("id: {}\ndata: {}\n\n", id, id);
+    return text;
+}
+
+std::string const refused = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                            "Content-Length: 0\r\n\r\n";
+
+// An entry host before two endpoints of a plain service and of a model service
+struct entry_fixture
+{
+    entry_fixture(std::deque<scripted_answer> first, std::deque<scripted_answer> second)
+        : servers{std::make_unique<scripted_server>(loop, std::move(first)),
+                  std::make_unique<scripted_server>(loop, std::move(second))}
+    {
+        auto routes = std::make_shared<deployment>();
+        auto const add = [&](char const* prefix, call_kind kind)
+        {
+            routes->routes.push_back(
+                {.name = prefix,
+                 .host = "a.example",
+                 .prefix = prefix,
+                 .kind = kind,
+                 .timeout = 3s,
+                 .objective = 1s,
+                 .max_attempts = is_idempotent(kind) ? 2U : 1U,
+                 .services = {{.service = service_id::of("s"), .weight = 1}}});
+        };
+        add("/safe/", call_kind::safe);
+        add("/unsafe/", call_kind::unsafe);
+        add("/stream/", call_kind::stream);
+        add("/resumable/", call_kind::resumable_stream);
+        routes->services.push_back({.id = service_id::of("s"), .name = "s"});
+        context.routes = std::make_shared<route_table const>(routes);
+        context.budgets.emplace(service_id::of("s"), retry_budget({}));
+        for (std::size_t index = 0; index < servers.size(); ++index)
+        {
+            // The first one is preferred: it is in the host's own zone
+            auto const name = fmt::format("i-{}", index);
+            context.dispatch.on_endpoint(
+                {.change = endpoint_change::appeared,
+                 .endpoint = {.id = endpoint_id::of(name),
+                              .name = name,
+                              .born = 1,
+                              .service = service_id::of("s"),
+                              .address = "127.0.0.1",
+                              .port = servers[index]->address().port(),
+                              .zone = zone_id::of(index == 0 ? "z" : "y"),
+                              .slots = 6}},
+                boot_now());
+        }
+        listener.listen({asio::ip::address_v4::loopback(), 0});
+        listener.start();
+    }
+
+    // Sends a request and reads all that comes back until the connection ends
+    std::string ask(http::verb method, std::string const& path)
+    {
+        std::string answer;
+        asio::co_spawn(
+            loop,
+            [&]() -> asio::awaitable<void>
+            {
+                tcp::socket socket(loop);
+                co_await socket.async_connect(listener.address(), asio::use_awaitable);
+                caller_message message(method, path, 11);
+                message.set("Host", "a.example");
+                message.set("X-Attempt-Id", "9c41");
+                message.set("X-Deadline-Ms", "2000");
+                message.keep_alive(false);
+                message.prepare_payload();
+                co_await http::async_write(socket, message, asio::use_awaitable);
+                error_code error;
+                std::array<char, 4'096> bytes{};
+                while (!error)
+                {
+                    auto const size = co_await socket.async_read_some(
+                        asio::buffer(bytes),
+                        asio::redirect_error(asio::use_awaitable, error));
+                    answer.append(bytes.data(), size);
+                }
+                done = true;
+            },
+            asio::detached);
+        run_until([&] { return done; });
+        return answer;
+    }
+
+    // Runs the loop until a condition holds, ten seconds at most
+    template <class Condition>
+    void run_until(Condition condition)
+    {
+        auto const end = boot_now() + 10s;
+        while (!condition() && boot_now() < end)
+            loop.run_one_for(100ms);
+        BOOST_TEST(condition());
+    }
+
+    [[nodiscard]] std::size_t sends() const
+    {
+        return servers[0]->requests.size() + servers[1]->requests.size();
+    }
+
+    asio::io_context loop;
+    bool done = false;
+    std::array<std::unique_ptr<scripted_server>, 2> servers;
+    metrics_registry metrics;
+    entry_context context{
+        .callers = {.loop = loop,
+                    .limits = {},
+                    .answer =
+                        [this](caller_session& session, caller_message const& message)
+                    {
+                        return [](entry_context& shared, caller_session& caller,
+                                  caller_message const& request) -> asio::awaitable<void>
+                        {
+                            entry_exchange<platform::request_dialect> exchange(
+                                shared, caller, request);
+                            co_await exchange.run();
+                        }(context, session, message);
+                    }},
+        .times = {},
+        .routes = nullptr,
+        .dispatch = dispatcher(zone_id::of("z"), {}),
+        .connections = connection_pool(loop.get_executor(), {}),
+        .budgets = {},
+        .suspects = suspect_registry({}),
+        .lost = {},
+        .metrics = {metrics.make_shard()},
+        .ask_load = [](load_wish const&) {},
+        .hosts = [] { return std::size_t{1}; },
+        .awaiting = {}};
+    caller_listener listener{context.callers};
+};
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(entry_exchanges)
+
+BOOST_AUTO_TEST_CASE(an_answer_is_passed_on_unchanged)
+{
+    entry_fixture entry({{sealed("whole", "X-More: 1\r\n")}}, {});
+    auto const answer = entry.ask(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(contains(answer, "X-Server-Seal: s"));
+    BOOST_TEST(contains(answer, "X-More: 1"));
+    BOOST_TEST(answer.ends_with("whole"));
+    BOOST_TEST(entry.servers[0]->requests.at(0)["X-Expect-Instance"] == "i-0");
+}
+
+BOOST_AUTO_TEST_CASE(what_may_have_run_is_not_sent_again_and_never_called_not_run)
+{
+    entry_fixture entry({{""}}, {{sealed("second")}});
+    auto const answer = entry.ask(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(contains(answer, "X-Outcome: unknown"));
+    BOOST_TEST(entry.sends() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_refused_goes_to_another_endpoint)
+{
+    entry_fixture entry({{refused}}, {{sealed("second")}});
+    BOOST_TEST(entry.ask(http::verb::post, "/unsafe/x").ends_with("second"));
+    BOOST_TEST(entry.sends() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(what_every_endpoint_refused_has_not_run)
+{
+    entry_fixture entry({{refused}}, {{refused}});
+    auto const answer = entry.ask(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(contains(answer, "X-Outcome: not-run"));
+    BOOST_TEST(contains(answer, "Retry-After: "));
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_answer_to_a_safe_request_is_fetched_elsewhere)
+{
+    auto cut = sealed("whole");
+    cut.resize(cut.size() - 2);
+    entry_fixture entry({{cut}}, {{sealed("second")}});
+    BOOST_TEST(entry.ask(http::verb::get, "/safe/x").ends_with("second"));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoints_failure_is_given_where_nothing_better_comes)
+{
+    auto const failure = "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: 9c41\r\n"
+                         "X-Server-Seal: s\r\nContent-Length: 3\r\n\r\nbad";
+    entry_fixture entry({{failure}}, {{failure}});
+    auto const answer = entry.ask(http::verb::get, "/safe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 500"));
+    BOOST_TEST(contains(answer, "X-Server-Seal: s"));
+    BOOST_TEST(entry.sends() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_is_read_past)
+{
+    entry_fixture entry({{sealed("foreign", {}, "other") + sealed("mine")}}, {});
+    BOOST_TEST(entry.ask(http::verb::post, "/unsafe/x").ends_with("mine"));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_seal_is_none)
+{
+    entry_fixture entry(
+        {{"HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nContent-Length: 1\r\n\r\nx"}}, {});
+    BOOST_TEST(entry.ask(http::verb::post, "/unsafe/x").starts_with("HTTP/1.1 502"));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_breaks_never_looks_whole)
+{
+    entry_fixture entry({{stream_head() + chunk(events(1, 2) + "id: 3\nda")}},
+                        {{stream_head() + chunk(events(1, 3)) + "0\r\n\r\n"}});
+    auto const answer = entry.ask(http::verb::post, "/stream/x");
+    BOOST_TEST(contains(answer, "data: 2"));
+    BOOST_TEST(!contains(answer, "id: 3"));
+    BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(entry.sends() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_behind_the_last_whole_event)
+{
+    entry_fixture entry({{stream_head() + chunk(events(1, 2) + "id: 3\nda")}},
+                        {{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}});
+    auto const answer = entry.ask(http::verb::post, "/resumable/x");
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    for (unsigned id = 1; id <= 4; ++id)
+        BOOST_TEST(contains(answer, fmt::format("id: {}\ndata: {}\n\n", id, id)));
+    BOOST_TEST(entry.servers[1]->requests.at(0)["Last-Event-Id"] == "2");
+}
+
+BOOST_AUTO_TEST_CASE(a_mute_endpoint_is_left_for_another_by_a_safe_request)
+{
+    entry_fixture entry({{"", false}}, {{sealed("second")}});
+    BOOST_TEST(entry.ask(http::verb::get, "/safe/x").ends_with("second"));
+    entry.run_until([&] { return entry.servers[0]->abandoned == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(the_deadline_ends_a_request_and_its_run)
+{
+    entry_fixture entry({{"", false}}, {});
+    auto const begin = boot_now();
+    auto const answer = entry.ask(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 504"));
+    BOOST_TEST((boot_now() - begin < 2'500ms));
+    entry.run_until([&] { return entry.servers[0]->abandoned == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_the_run)
+{
+    entry_fixture entry({{"", false}}, {});
+    tcp::socket caller(entry.loop);
+    caller.connect(entry.listener.address());
+    std::string const request = "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\n"
+                                "X-Attempt-Id: 9c41\r\nContent-Length: 0\r\n\r\n";
+    asio::write(caller, asio::buffer(request));
+    entry.run_until([&] { return entry.sends() == 1; });
+    caller.close();
+    entry.run_until([&] { return entry.servers[0]->abandoned == 1; });
+}
+
+BOOST_AUTO_TEST_CASE(a_convicted_request_is_refused_everywhere)
+{
+    entry_fixture entry({}, {});
+    caller_message message(http::verb::post, "/unsafe/x", 11);
+    message.set("Host", "a.example");
+    message.set("X-Attempt-Id", "1");
+    auto const read = platform::request_dialect::read_request(
+        message, entry.context.routes, boot_now());
+    auto const content = std::get<entry_request>(read).asked.fingerprint;
+    entry.context.suspects.merge(boot_now(), {.fingerprint = content,
+                                              .first_crash = 1,
+                                              .second_crash = 2,
+                                              .crashed_at = wall_now(),
+                                              .remaining = 1min});
+    auto const answer = entry.ask(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(entry.sends() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
