--- a/marjorampath/dispatch/call.hpp
+++ b/marjorampath/dispatch/call.hpp
@@ -51,4 +51,7 @@
     fingerprint_id fingerprint;
 };
 
+/// Identifies a cached part of a prompt at an engine: parts are kept by model or adapter.
+std::uint64_t part_key(call const& request, prompt_part const& part);
+
 } // namespace marjorampath
--- /dev/null
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -0,0 +1,324 @@
+#include <marjorampath/core/rendezvous.hpp>
+#include <marjorampath/dispatch/dispatcher.hpp>
+#include <marjorampath/limits/jitter.hpp>
+
+#include <algorithm>
+
+namespace marjorampath
+{
+
+namespace
+{
+
+// Room of an engine's cache beyond which newcomers are expected to be preempted
+constexpr double cache_fill = 0.9;
+// What a request that does not fit into the cache waits at least
+constexpr duration cache_wait = std::chrono::milliseconds(400);
+// Size of the steps in which queues are compared when a load is placed, so that hosts
+// whose views differ a little choose the same engine
+constexpr duration queue_step = std::chrono::milliseconds(40);
+// Looks at an adapter that is being loaded are this far apart at most
+constexpr duration longest_look = std::chrono::milliseconds(240);
+
+duration from_ms(double milliseconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(milliseconds));
+}
+
+} // namespace
+
+std::vector<dispatcher::candidate> dispatcher::usable(call const& request,
+                                                      std::span<endpoint_id const> tried,
+                                                      time_point now)
+{
+    std::vector<candidate> found;
+    auto const subject = request.adapter.empty() ? adapter_id(request.id.number())
+                                                 : adapter_id::of(request.adapter);
+    for (auto& [id, load] : loads_)
+    {
+        auto const& announced = load.announced;
+        if (announced.service != request.service || announced.draining ||
+            !load.breaker.allows(now) ||
+            std::find(tried.begin(), tried.end(), id) != tried.end())
+            continue;
+        auto expected = failure_cost(load, request.objective) +
+                        silence_cost(load, request.objective, now);
+        if (announced.zone != zone_)
+            expected += options_.other_zone_cost;
+        found.push_back({.load = &load,
+                         .expected = expected,
+                         .rank = rendezvous_weight(subject, id)});
+    }
+    return found;
+}
+
+dispatch_decision dispatcher::decide(call const& request,
+                                     std::span<endpoint_id const> tried, time_point now)
+{
+    auto found = usable(request, tried, now);
+    if (found.empty())
+        return refuse(error_kind::no_endpoint, options_.retry_pause);
+    if (engines_.contains(request.service))
+        return decide_model(request, std::move(found), now);
+    return decide_plain(request, std::move(found), now);
+}
+
+dispatch_decision dispatcher::decide_plain(call const& request,
+                                           std::vector<candidate> found, time_point now)
+{
+    // Requests beyond the slots of an endpoint wait there for a whole one to end
+    for (auto& each : found)
+    {
+        auto const& load = *each.load;
+        auto const running = load.in_flight + load.others_in_flight;
+        auto const slots = std::max<std::uint32_t>(load.announced.slots, 1);
+        each.expected += request.objective / 4 * running / slots;
+    }
+    auto const best = std::min_element(found.begin(), found.end(),
+                                       [](auto const& left, auto const& right)
+                                       {
+                                           return left.expected != right.expected
+                                                      ? left.expected < right.expected
+                                                      : left.rank < right.rank;
+                                       });
+    if (best->expected > request.deadline - now)
+        return refuse(error_kind::deadline_unreachable, best->expected);
+    return {.act = dispatch_act::send,
+            .endpoint = best->load->announced.id,
+            .expected = best->expected};
+}
+
+dispatch_decision dispatcher::decide_model(call const& request,
+                                           std::vector<candidate> found, time_point now)
+{
+    auto const cache_tokens =
+        cache_fill * static_cast<double>(engines_.at(request.service).cache_tokens);
+    auto const needed = request.prompt_tokens + request.output_tokens;
+    candidate const* best = nullptr;
+    std::vector<candidate> absent;
+    for (auto& each : found)
+    {
+        auto const& load = *each.load;
+        auto const& models = load.announced.models;
+        if (std::find(models.begin(), models.end(), request.model) == models.end())
+            continue;
+        each.expected += queue_time(load) + prefill_time(request, load, now);
+        if (static_cast<double>(load.tokens + load.others_tokens + needed) > cache_tokens)
+            each.expected += cache_wait;
+        if (request.adapter.empty())
+        {
+            if (!best || each.expected < best->expected)
+                best = &each;
+            continue;
+        }
+        auto const* held = belief(load, request.adapter);
+        auto const required = required_version(request.adapter);
+        if (!held || (held->version != 0 && held->version < required))
+        {
+            absent.push_back(each);
+            continue;
+        }
+        if (held->ready_at > now)
+            each.expected += held->ready_at - now;
+        if (!best || each.expected < best->expected)
+            best = &each;
+    }
+
+    auto const* target =
+        request.adapter.empty() ? nullptr : load_target(request.adapter, absent, now);
+    if (!best)
+        return wait_for_load(request, target, now);
+
+    auto const left = request.deadline - now;
+    auto const longest =
+        from_ms(options_.longest_wait *
+                std::chrono::duration<double, std::milli>(request.objective).count());
+    if (best->expected > std::min(left, longest))
+        return refuse(error_kind::deadline_unreachable,
+                      best->expected - std::min(best->expected, request.objective / 2));
+
+    // A further copy pays where the queue at the present ones is long
+    std::optional<load_wish> wish;
+    if (target && !is_coming(request, now) &&
+        best->expected >
+            options_.adapter_load_time + target->expected + options_.copy_gain)
+        wish = load_wish{target->load->announced.id, request.adapter};
+    if (wish)
+        target->load->asked_loads[request.adapter].answer_until =
+            now + options_.load_answer_timeout;
+
+    auto const& load = *best->load;
+    auto const* held = belief(load, request.adapter);
+    if (held && held->ready_at > now)
+        return {.act = dispatch_act::wait,
+                .endpoint = load.announced.id,
+                .expected = best->expected,
+                .load = wish,
+                .recheck = std::min(held->ready_at, now + longest_look)};
+    return {.act = dispatch_act::send,
+            .endpoint = load.announced.id,
+            .expected = best->expected,
+            .load = wish};
+}
+
+dispatcher::candidate const* dispatcher::load_target(std::string const& adapter,
+                                                     std::vector<candidate> const& absent,
+                                                     time_point now)
+{
+    candidate const* best = nullptr;
+    auto const steps = [](candidate const& each)
+    {
+        return (each.expected + (each.load->free_places > 0 ? duration{0} : queue_step)) /
+               queue_step;
+    };
+    for (auto const& each : absent)
+    {
+        auto const& load = *each.load;
+        auto const asked = load.asked_loads.find(adapter);
+        if (now - load.status_at > options_.status_memory ||
+            (asked != load.asked_loads.end() &&
+             (asked->second.answer_until > now || asked->second.refused_until > now)))
+            continue;
+        if (!best || steps(each) < steps(*best) ||
+            (steps(each) == steps(*best) && each.rank > best->rank))
+            best = &each;
+    }
+    return best;
+}
+
+dispatch_decision dispatcher::wait_for_load(call const& request, candidate const* target,
+                                            time_point now)
+{
+    // A load that was asked for and not answered yet is waited for
+    if (auto const pending = unanswered_load(request, now))
+        return {.act = dispatch_act::wait, .recheck = *pending};
+    if (!target && place_may_come(request, now))
+        return {.act = dispatch_act::wait, .recheck = now + options_.load_refusal_pause};
+    if (!target || request.adapter.empty())
+        return refuse(error_kind::no_endpoint, time_to_orders(request.service, now));
+
+    auto const expected = options_.adapter_load_time + target->expected;
+    if (expected > request.deadline - now)
+        return refuse(error_kind::deadline_unreachable, expected);
+    target->load->asked_loads[request.adapter].answer_until =
+        now + options_.load_answer_timeout;
+    return {.act = dispatch_act::wait,
+            .endpoint = target->load->announced.id,
+            .expected = expected,
+            .load = load_wish{target->load->announced.id, request.adapter},
+            .recheck = now + options_.load_answer_timeout};
+}
+
+duration dispatcher::time_to_orders(service_id service, time_point now) const
+{
+    std::optional<time_point> first;
+    for (auto const& [id, load] : loads_)
+    {
+        if (load.announced.service != service || load.announced.draining)
+            continue;
+        if (now - load.status_at <= options_.status_memory)
+            return options_.retry_pause;
+        if (load.orderable_at && *load.orderable_at > now)
+            first = std::min(first.value_or(*load.orderable_at), *load.orderable_at);
+    }
+
+    // Behind the first orders come the loads
+    return first ? *first - now + options_.adapter_load_time : options_.lease_pause;
+}
+
+bool dispatcher::place_may_come(call const& request, time_point now) const
+{
+    auto const patience =
+        from_ms(options_.place_patience *
+                std::chrono::duration<double, std::milli>(request.objective).count());
+    if (request.adapter.empty() || now - request.arrived >= patience)
+        return false;
+    return std::any_of(loads_.begin(), loads_.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const& load = entry.second;
+                           return load.announced.service == request.service &&
+                                  !load.announced.draining &&
+                                  now - load.status_at <= options_.status_memory;
+                       });
+}
+
+std::optional<time_point> dispatcher::unanswered_load(call const& request,
+                                                      time_point now) const
+{
+    std::optional<time_point> first;
+    for (auto const& [id, load] : loads_)
+    {
+        auto const asked = load.asked_loads.find(request.adapter);
+        if (asked == load.asked_loads.end() || asked->second.answer_until <= now)
+            continue;
+        first = std::min(first.value_or(asked->second.answer_until),
+                         asked->second.answer_until);
+    }
+    return first;
+}
+
+bool dispatcher::is_coming(call const& request, time_point now) const
+{
+    if (unanswered_load(request, now))
+        return true;
+    return std::any_of(loads_.begin(), loads_.end(),
+                       [&](auto const& entry)
+                       {
+                           auto const* held = belief(entry.second, request.adapter);
+                           return held && held->ready_at > now;
+                       });
+}
+
+dispatch_decision dispatcher::refuse(error_kind reason, duration pause)
+{
+    return {.act = dispatch_act::refuse,
+            .reason = reason,
+            .retry_after = jittered(pause, random_)};
+}
+
+duration dispatcher::queue_time(endpoint_load const& load) const
+{
+    auto const tokens =
+        static_cast<double>(load.waiting_tokens + load.others_waiting_tokens);
+    auto const running =
+        static_cast<std::int64_t>(load.in_flight) + load.others_in_flight;
+    return from_ms(tokens / options_.prefill_tokens_per_ms) +
+           options_.running_cost * running;
+}
+
+duration dispatcher::prefill_time(call const& request, endpoint_load const& load,
+                                  time_point now) const
+{
+    // A part is reused only where all parts before it are
+    std::uint32_t cached = 0;
+    for (auto const& part : request.parts)
+    {
+        auto const found = load.parts.find(part_key(request, part));
+        if (found == load.parts.end() || now - found->second > options_.part_memory)
+            break;
+        cached += part.tokens;
+    }
+    auto const left = request.prompt_tokens - std::min(cached, request.prompt_tokens);
+    return from_ms(left / options_.prefill_tokens_per_ms);
+}
+
+duration dispatcher::failure_cost(endpoint_load const& load, duration objective)
+{
+    auto const objective_ms =
+        std::chrono::duration<double, std::milli>(objective).count();
+    return from_ms(objective_ms * (load.failure_rate + load.refusal_rate));
+}
+
+duration dispatcher::silence_cost(endpoint_load const& load, duration objective,
+                                  time_point now) const
+{
+    auto longest = duration{0};
+    for (auto const& [id, sent_at] : load.unanswered)
+        longest = std::max(longest, now - sent_at);
+    auto const tolerated = objective * 2 + queue_time(load) * 2;
+    return longest > tolerated ? longest : duration{0};
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/serving/entry/entry_exchange.inl
@@ -0,0 +1,495 @@
+namespace marjorampath::serving
+{
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::run()
+{
+    begin_ = boot_now();
+    context_->metrics.shard.number(requests_metric).add();
+    auto read = Dialect::read_request(*message_, context_->routes, begin_);
+    if (auto const* kind = std::get_if<error_kind>(&read))
+    {
+        request_.name = Dialect::request_name(*message_);
+        co_await reject(*kind, context_->routes ? duration{0} : std::chrono::seconds(1));
+        co_return;
+    }
+    request_ = std::move(std::get<entry_request>(read));
+    events_ = event_splitter({.last_id = request_.last_event});
+    auto const budget = context_->budgets.find(request_.asked.service);
+    if (budget != context_->budgets.end())
+        budget->second.on_request(begin_);
+    if (context_->suspects.judge(begin_, request_.asked.fingerprint) ==
+        suspicion::convicted)
+    {
+        co_await reject(error_kind::quarantined, {});
+        co_return;
+    }
+
+    auto* session = session_;
+    control_ = std::make_shared<exchange_control>(context_->callers.loop.get_executor(),
+                                                  [session] { session->cancel_write(); });
+    control_->start_deadline(request_.asked.deadline - begin_);
+    session_->watch([control = control_] { control->abort(error_kind::caller_gone); });
+    while (!over_)
+        co_await step();
+    session_->unwatch();
+    control_->finish();
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::step()
+{
+    if (aborted())
+    {
+        co_await conclude_aborted();
+        co_return;
+    }
+    auto const now = boot_now();
+    auto const decision = context_->dispatch.decide(request_.asked, tried_, now);
+    if (decision.load)
+        context_->ask_load(*decision.load);
+
+    auto const* load = context_->dispatch.find(decision.endpoint);
+    log_event(event::request_decided, "request", request_.name, "route",
+              request_.matched->name, "config", request_.table->source().version, "act",
+              static_cast<int>(decision.act), "endpoint",
+              load ? load->announced.name : std::string("-"), "adapter",
+              request_.asked.adapter, "expected_ms",
+              decision.expected.count() / 1'000'000, "sends", sends_);
+    switch (decision.act)
+    {
+    case dispatch_act::wait:
+        co_await await_adapter(decision);
+        break;
+    case dispatch_act::refuse:
+        co_await conclude(decision.reason, decision.retry_after);
+        break;
+    case dispatch_act::send:
+        co_await attempt(load->announced);
+        break;
+    }
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void>
+entry_exchange<Dialect>::await_adapter(dispatch_decision const& decision)
+{
+    if (++waits_ > max_waits)
+    {
+        co_await conclude(error_kind::load_failed, context_->times.retry_pause);
+        co_return;
+    }
+    auto const entry = context_->awaiting.emplace(request_.asked.adapter, &timer_);
+    timer_.expires_after(
+        std::max<duration>(decision.recheck - boot_now(), std::chrono::milliseconds(1)));
+    control_->set_waiting([this] { timer_.cancel(); });
+    error_code ignored;
+    co_await timer_.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    control_->set_waiting(nullptr);
+    context_->awaiting.erase(entry);
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void>
+entry_exchange<Dialect>::attempt(endpoint_announcement endpoint)
+{
+    if (sends_ > 0)
+    {
+        auto const budget = context_->budgets.find(request_.asked.service);
+        auto const allowed = budget == context_->budgets.end() ||
+                             budget->second.take(boot_now(), context_->hosts());
+        if (!allowed || sends_ >= max_sends)
+        {
+            co_await conclude(error_kind::no_endpoint, context_->times.retry_pause);
+            co_return;
+        }
+    }
+    if (sends_ == 0 && !request_.asked.adapter.empty())
+        context_->metrics.shard.latency(stall_metric)
+            .record(std::chrono::duration<double>(boot_now() - begin_).count());
+
+    begun_ = false;
+    limit_ = nullptr;
+    present_ = endpoint.id;
+    auto const attempt_id = context_->callers.next_request_id();
+    context_->dispatch.on_sent(request_.asked, endpoint.id, boot_now());
+    context_->suspects.on_grant(attempt_id, request_.asked.fingerprint, endpoint.id);
+    auto const end = co_await exchange(endpoint);
+    lift_limit();
+    control_->set_connection(nullptr);
+    if (connection_)
+    {
+        error_code ignored;
+        connection_->close(ignored);
+        connection_ = nullptr;
+    }
+
+    auto const now = boot_now();
+    context_->dispatch.on_ended(request_.asked, endpoint.id, end, begun_, now);
+    if (end == call_end::lost)
+        context_->lost.add(attempt_id, now);
+    else
+        context_->suspects.on_end(attempt_id, end == call_end::finished);
+    context_->metrics.count(attempts_metric, "end", to_string(end));
+    log_event(event::attempt_ended, "request", request_.name, "endpoint", endpoint.name,
+              "end", to_string(end), "begun", begun_, "events", events_.passed(),
+              "after_ms", (now - begin_).count() / 1'000'000);
+    co_await on_end(endpoint, end);
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool>
+entry_exchange<Dialect>::connect(directory_entry const& endpoint)
+{
+    // An endpoint may close an idle connection at any time, after which nobody can tell
+    // whether it ran what was written; so what must not run twice wants a fresh one
+    auto const max_idle =
+        is_idempotent(request_.asked.kind) ? duration::max() : context_->times.fresh_idle;
+    connection_ = context_->connections.take_idle(endpoint, max_idle);
+    if (connection_)
+    {
+        control_->set_connection(connection_);
+        co_return true;
+    }
+    connection_ = context_->connections.make_socket();
+    control_->set_connection(connection_);
+    limit_attempt(context_->times.connect_timeout);
+    auto const failed = co_await connection_pool::connect(connection_, endpoint.address);
+    lift_limit();
+    co_return !failed;
+}
+
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::limit_attempt(duration time)
+{
+    limit_ = std::make_shared<attempt_limit>();
+    timer_.expires_after(time);
+    timer_.async_wait(
+        [limit = limit_, connection = connection_](error_code error)
+        {
+            if (error || !limit->armed)
+                return;
+            limit->expired = true;
+            error_code ignored;
+            connection->close(ignored);
+        });
+}
+
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::lift_limit()
+{
+    timer_.cancel();
+    if (limit_)
+        limit_->armed = false;
+}
+
+template <entry_dialect Dialect>
+call_end entry_exchange<Dialect>::broken(call_end end) const
+{
+    if (aborted())
+        return call_end::cancelled;
+    return limit_ && limit_->expired ? call_end::timed_out : end;
+}
+
+template <entry_dialect Dialect>
+bool entry_exchange<Dialect>::second_endpoint_left() const
+{
+    auto const& asked = request_.asked;
+    return asked.kind == call_kind::safe && runs_ + 1 < request_.matched->max_attempts &&
+           context_->dispatch.usable_endpoints(asked.service, boot_now()) >
+               tried_.size() + 1;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<call_end>
+entry_exchange<Dialect>::exchange(endpoint_announcement const& endpoint)
+{
+    directory_entry const place{
+        .id = endpoint.id,
+        .name = endpoint.name,
+        .address = {boost::asio::ip::make_address(endpoint.address), endpoint.port},
+        .kind = {},
+        .zone = endpoint.zone,
+        .leaving = false};
+    auto const connected = co_await connect(place);
+    if (aborted())
+        co_return call_end::cancelled;
+    if (!connected)
+        co_return call_end::unreachable;
+
+    auto const& asked = request_.asked;
+    ++sends_;
+    auto const sent = Dialect::endpoint_message(
+        *message_, endpoint,
+        {.left = asked.deadline - boot_now(),
+         .version = context_->dispatch.required_version(asked.adapter),
+         .last_event = events_.last_id().value_or(0),
+         .priority = asked.priority});
+    if (second_endpoint_left())
+        limit_attempt(std::max(context_->times.least_second_send,
+                               std::chrono::duration_cast<duration>(
+                                   asked.objective * context_->times.second_send_part)));
+    error_code error;
+    co_await boost::beast::http::async_write(
+        *connection_, sent,
+        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    if (error)
+        co_return broken(call_end::lost);
+    co_return co_await read_answer(endpoint, place);
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<call_end>
+entry_exchange<Dialect>::read_answer(endpoint_announcement const& endpoint,
+                                     directory_entry const& place)
+{
+    std::string early;
+    for (unsigned foreign = 0; foreign <= max_foreign_answers; ++foreign)
+    {
+        answer_reader reader(connection_, std::move(early));
+        if (message_->method() == boost::beast::http::verb::head)
+            reader.expect_no_body();
+        if (co_await reader.read_head())
+            co_return broken(reader.got_some() ? call_end::garbled : call_end::lost);
+
+        auto const verdict =
+            Dialect::judge(reader.get_head(), request_.name, endpoint.name);
+        if (verdict == endpoint_verdict::other_request)
+        {
+            std::string dropped;
+            if (!reader.is_framed() || co_await reader.read_rest(dropped, max_held_bytes))
+                co_return broken(call_end::garbled);
+            early = reader.take_rest();
+            continue;
+        }
+        if (verdict == endpoint_verdict::garbled)
+            co_return call_end::garbled;
+
+        auto end = call_end::finished;
+        if (verdict == endpoint_verdict::success || verdict == endpoint_verdict::failure)
+        {
+            end = co_await take_answer(reader, verdict == endpoint_verdict::success);
+        }
+        else
+        {
+            std::string dropped;
+            co_await reader.read_rest(dropped, max_held_bytes);
+            end = Dialect::end_of(verdict);
+        }
+        if (reader.keep_alive() && connection_->is_open() && !aborted())
+            context_->connections.put_back(place, std::exchange(connection_, nullptr));
+        co_return end;
+    }
+    co_return call_end::garbled;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<call_end>
+entry_exchange<Dialect>::take_answer(answer_reader& reader, bool success)
+{
+    if (success && is_stream(request_.asked.kind))
+        co_return co_await relay_events(reader);
+
+    lift_limit();
+    held_answer answer{.head = Dialect::caller_head(reader.get_head()), .body = {}};
+    begun_ = true;
+    context_->dispatch.on_first_event(request_.asked, present_);
+    context_->metrics.shard.latency(first_byte_metric)
+        .record(std::chrono::duration<double>(boot_now() - begin_).count());
+    if (co_await reader.read_rest(answer.body, max_held_bytes))
+        co_return broken(call_end::lost);
+    if (aborted())
+        co_return call_end::cancelled;
+    if (!success)
+    {
+        fallback_ = std::move(answer);
+        co_return call_end::failed;
+    }
+    co_await deliver(std::move(answer));
+    co_return call_end::finished;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<call_end>
+entry_exchange<Dialect>::relay_events(answer_reader& reader)
+{
+    std::string bytes;
+    std::string events;
+    error_code error;
+    while (!error && (!reader.is_done() || reader.has_early()))
+    {
+        error = co_await reader.read_some(bytes);
+        if (aborted())
+            co_return call_end::cancelled;
+        if (!events_.push(bytes, events))
+            co_return call_end::garbled;
+        bytes.clear();
+        if (!events.empty() && !co_await pass_events(reader, events))
+            co_return call_end::cancelled;
+        events.clear();
+    }
+    if (error)
+        co_return broken(call_end::lost);
+    if (events_.in_event() || !head_sent_)
+        co_return call_end::garbled;
+    if (co_await session_->finish())
+        control_->abort(error_kind::caller_gone);
+    over_ = true;
+    context_->metrics.count(answers_metric, "kind", "endpoint");
+    co_return call_end::finished;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool>
+entry_exchange<Dialect>::pass_events(answer_reader const& reader,
+                                     std::string const& events)
+{
+    if (!begun_)
+    {
+        begun_ = true;
+        context_->dispatch.on_first_event(request_.asked, present_);
+    }
+    if (!head_sent_)
+    {
+        context_->metrics.shard.latency(first_byte_metric)
+            .record(std::chrono::duration<double>(boot_now() - begin_).count());
+        log_event(event::request_answered, "request", request_.name, "first_event_ms",
+                  (boot_now() - begin_).count() / 1'000'000);
+        head_sent_ = true;
+        auto head = Dialect::caller_head(reader.get_head());
+        head.erase(boost::beast::http::field::content_length);
+        if (session_->accepts_chunks())
+            head.chunked(true);
+        else
+            session_->cut();
+        if (co_await session_->begin(std::move(head)))
+            control_->abort(error_kind::caller_gone);
+    }
+    if (!aborted() && co_await session_->write(events))
+        control_->abort(error_kind::caller_gone);
+    co_return !aborted();
+}
+
+template <entry_dialect Dialect>
+bool entry_exchange<Dialect>::may_run_again() const
+{
+    return is_idempotent(request_.asked.kind) && runs_ < request_.matched->max_attempts;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void>
+entry_exchange<Dialect>::on_end(endpoint_announcement const& endpoint, call_end end)
+{
+    switch (end)
+    {
+    case call_end::finished:
+        over_ = true;
+        break;
+    case call_end::cancelled:
+        if (sends_ > 0)
+            ++runs_;
+        co_await conclude_aborted();
+        break;
+    case call_end::refused:
+        // An engine whose adapter has just been loaded may still be asked again
+        if (request_.asked.adapter.empty())
+            tried_.push_back(endpoint.id);
+        break;
+    case call_end::adapter_missing:
+        break;
+    case call_end::another_instance:
+    case call_end::unreachable:
+        tried_.push_back(endpoint.id);
+        break;
+    case call_end::failed:
+    case call_end::lost:
+    case call_end::garbled:
+    case call_end::timed_out:
+        ++runs_;
+        tried_.push_back(endpoint.id);
+        events_.restart();
+        if (!may_run_again())
+            co_await conclude(end == call_end::garbled ? error_kind::endpoint_protocol
+                                                       : error_kind::endpoint_lost,
+                              {});
+        break;
+    }
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::deliver(held_answer answer)
+{
+    over_ = true;
+    log_event(event::request_answered, "request", request_.name, "status",
+              answer.head.result_int(), "after_ms",
+              (boot_now() - begin_).count() / 1'000'000);
+    context_->metrics.count(answers_metric, "kind", "endpoint");
+    caller_answer reply(answer.head.result(), 11);
+    static_cast<boost::beast::http::fields&>(reply) = answer.head;
+    reply.result(answer.head.result_int());
+    reply.body() = std::move(answer.body);
+    co_await session_->send(std::move(reply));
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::conclude(error_kind kind,
+                                                               duration retry_after)
+{
+    over_ = true;
+    if (head_sent_)
+    {
+        // The answer ends without its end; nothing more can be said
+        log_event(event::request_failed, "request", request_.name, "kind",
+                  answer_of(kind).name, "outcome", "cut", "events", events_.passed());
+        context_->metrics.count(answers_metric, "kind", "cut");
+        session_->cut();
+        co_return;
+    }
+    if (fallback_)
+    {
+        co_await deliver(std::move(*fallback_));
+        co_return;
+    }
+
+    // What may have run is never called not run
+    if (runs_ > 0 && answer_of(kind).result == outcome::not_run)
+        kind = error_kind::endpoint_lost;
+    co_await reject(kind, retry_after);
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::conclude_aborted()
+{
+    over_ = true;
+    auto const reason = control_->reason();
+    if (reason == error_kind::caller_gone)
+    {
+        log_event(event::request_failed, "request", request_.name, "kind",
+                  answer_of(reason).name, "sends", sends_);
+        context_->metrics.count(answers_metric, "kind", answer_of(reason).name);
+        session_->cut();
+        co_return;
+    }
+
+    // Nothing is ended from outside any more, so that the answer gets out
+    control_->finish();
+    co_await conclude(runs_ > 0 ? reason : error_kind::deadline_unreachable, {});
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::reject(error_kind kind,
+                                                             duration retry_after)
+{
+    log_event(event::request_rejected, "request", request_.name, "kind",
+              answer_of(kind).name, "outcome", to_string(answer_of(kind).result),
+              "retry_after_ms", retry_after.count() / 1'000'000, "sends", sends_,
+              "config", context_->routes ? context_->routes->source().version : 0,
+              "after_ms", (boot_now() - begin_).count() / 1'000'000);
+    context_->metrics.count(answers_metric, "kind", answer_of(kind).name);
+    auto answer = Dialect::error_answer(
+        {.kind = kind, .message = {}, .retry_after = retry_after}, request_.name);
+    co_await session_->send(std::move(answer));
+}
+
+} // namespace marjorampath::serving
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -223,3 +223,4 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_node.inl>
+#include <serving/entry/entry_node_view.inl>
--- /dev/null
+++ b/serving/entry/entry_node_view.inl
@@ -0,0 +1,250 @@
+namespace marjorampath::serving
+{
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::keep_listing()
+{
+    boost::system::error_code ignored;
+    while (!finished_)
+    {
+        // Where other hosts of the zone read for all, this one reads from them
+        if (!fleet_.peers().is_reader(boot_now()) && context_.routes)
+        {
+            listing_timer_.expires_after(times_.listing_interval);
+            co_await listing_timer_.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            continue;
+        }
+        auto listing = co_await source_.read_endpoints();
+        if (finished_)
+            break;
+        note_store(listing.error);
+        auto const failed = static_cast<bool>(listing.error);
+        if (!failed)
+            take_listing(std::move(listing), "store");
+        listing_timer_.expires_after(failed ? times_.read_pause
+                                            : times_.listing_interval);
+        co_await listing_timer_.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::note_store(std::error_code error)
+{
+    if (error && store_known_)
+        log_event(event::store_unreachable, "error", error.message(), "revision",
+                  catalog_.revision());
+    if (!error && !store_known_)
+        log_event(event::store_reachable, "revision", catalog_.revision());
+    store_known_ = !error;
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::watch_operator()
+{
+    boost::system::error_code ignored;
+    while (!finished_)
+    {
+        if (!fleet_.peers().is_reader(boot_now()) && context_.routes)
+        {
+            watched_revision_ = 0;
+            watch_timer_.expires_after(times_.read_pause);
+            co_await watch_timer_.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            continue;
+        }
+        operator_news news;
+        if (watched_revision_ == 0)
+            news = co_await source_.read_operator();
+        else
+            news = co_await source_.watch_operator(watched_revision_, times_.watch_wait);
+        if (finished_)
+            break;
+        if (!news.error)
+        {
+            watched_revision_ = news.revision;
+            take_news(news, "store");
+            continue;
+        }
+
+        // Whatever failed, the history may be gone: read all of it again
+        watched_revision_ = 0;
+        watch_timer_.expires_after(times_.read_pause);
+        co_await watch_timer_.async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::take_news(operator_news const& news, std::string_view source)
+{
+    for (auto const& key : news.ignored)
+        log_event(event::deployment_ignored, "key", key, "source", source);
+    if (news.configuration)
+        take_configuration(news.configuration, source);
+    auto const now = boot_now();
+    for (auto const& version : news.versions)
+    {
+        if (context_.dispatch.required_version(version.adapter) >= version.version)
+            continue;
+        log_event(event::version_announced, "adapter", version.adapter, "version",
+                  version.version, "source", source);
+        context_.dispatch.on_version(version.adapter, version.version, now);
+        planner_.on_version(version.adapter, version.version);
+    }
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::take_configuration(
+    std::shared_ptr<deployment const> const& configuration, std::string_view source)
+{
+    // An older one never comes back into force
+    if (context_.routes && context_.routes->source().version >= configuration->version)
+        return;
+    log_event(event::deployment_accepted, "version", configuration->version, "routes",
+              configuration->routes.size(), "source", source);
+    context_.routes = std::make_shared<route_table const>(configuration);
+    context_.dispatch.set_services(configuration->services);
+    planner_.set_services(configuration->services);
+    auto& limits = context_.callers.limits;
+    limits.max_head_bytes = configuration->bounds.max_head_bytes;
+    limits.max_body_bytes = configuration->bounds.max_body_bytes;
+    limits.idle_timeout = configuration->bounds.idle_timeout;
+    for (auto const& service : configuration->services)
+        context_.budgets.try_emplace(
+            service.id, retry_budget_options{.ratio = settings_.retry_ratio,
+                                             .window = settings_.retry_window,
+                                             .extra = settings_.retry_extra});
+    update_engines();
+
+    // Hosts that do not read the store hear of it at once
+    if (source == "store")
+        fleet_.beat();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::take_listing(endpoint_listing listing, std::string_view source)
+{
+    auto const now = boot_now();
+    for (auto const& key : listing.ignored)
+        log_event(event::store_entry_ignored, "key", key, "revision", listing.revision);
+    if (listing.revision >= catalog_.revision())
+        relayed_listing_ = std::move(listing.relayed);
+    auto const changes =
+        catalog_.take_listing(now, listing.revision, std::move(listing.endpoints));
+    for (auto const& change : changes)
+    {
+        auto const& endpoint = change.endpoint;
+        if (change.change != endpoint_change::updated)
+            log_event(change.change == endpoint_change::appeared
+                          ? event::endpoint_appeared
+                          : (change.change == endpoint_change::restarted
+                                 ? event::endpoint_restarted
+                                 : (change.change == endpoint_change::draining
+                                        ? event::endpoint_leaving
+                                        : event::endpoint_lost)),
+                      "endpoint", endpoint.name, "address", endpoint.address, "port",
+                      endpoint.port, "revision", listing.revision, "source", source);
+        if (change.change == endpoint_change::restarted ||
+            (change.change == endpoint_change::gone && !endpoint.draining))
+            for (auto const content :
+                 context_.suspects.on_crash(now, wall_now(), endpoint.id, endpoint.born))
+                log_event(event::request_suspected, "content", content, "endpoint",
+                          endpoint.name);
+        context_.dispatch.on_endpoint(change, now);
+        planner_.on_endpoint(change, now);
+    }
+    update_engines();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::update_engines()
+{
+    if (!context_.routes)
+        return;
+    std::set<endpoint_id> engines;
+    for (auto const& [id, endpoint] : catalog_.endpoints())
+    {
+        auto const* service = context_.routes->source().find_service(endpoint.service);
+        if (service && service->engine && !endpoint.draining)
+            engines.insert(id);
+    }
+    if (engines == known_engines_)
+        return;
+    known_engines_ = std::move(engines);
+    fleet_.set_engines({known_engines_.begin(), known_engines_.end()});
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<std::string> entry_node<Platform>::read_relay(peer_address peer,
+                                                                     std::string path)
+{
+    namespace http = boost::beast::http;
+    http::request<http::string_body> request(http::verb::get, path, 11);
+    boost::asio::ip::tcp::endpoint const address{
+        boost::asio::ip::address_v4(peer.address), settings_.relay.port()};
+    http_fetch_options const options{.timeout = times_.read_pause,
+                                     .max_body_bytes = max_relayed_bytes};
+    auto const fetched = co_await http_fetch(address, std::move(request), options);
+    if (fetched.error || fetched.answer.result() != http::status::ok)
+        co_return std::string();
+    co_return fetched.answer.body();
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::relay_view()
+{
+    // The host whose listing is newest, and any that has a newer configuration
+    auto const now = boot_now();
+
+    auto const own_age =
+        catalog_.listed_at() ? now - *catalog_.listed_at() : duration::max();
+    std::optional<peer_address> freshest;
+    std::optional<peer_address> newest;
+    auto newest_revision = source_.operator_revision();
+    auto freshest_age = duration::max();
+    for (auto const& [host, known] : fleet_.peers().peers())
+    {
+        if (!fleet_.peers().heard(host, now))
+            continue;
+        if (known.beat.operator_revision > newest_revision)
+        {
+            newest = known.beat.address;
+            newest_revision = known.beat.operator_revision;
+        }
+        auto age = known.beat.listing_age;
+        if (known.beat.zone != zone_id::of(settings_.zone))
+            age += times_.other_zone_age;
+        if (known.beat.listing_revision > catalog_.revision() && age < freshest_age)
+        {
+            freshest = known.beat.address;
+            freshest_age = age;
+        }
+    }
+    relaying_ = true;
+    if (newest)
+    {
+        std::string const path = "/relay/operator";
+        auto const relayed = co_await read_relay(*newest, path);
+        auto const news = source_.read_relayed_operator(relayed);
+        if (!news.error)
+            take_news(news, "peer");
+    }
+    if (freshest && own_age > times_.relay_age)
+    {
+        std::string const path = "/relay/endpoints";
+        auto const relayed = co_await read_relay(*freshest, path);
+        auto listing = source_.read_relayed_endpoints(relayed);
+        if (!listing.error)
+        {
+            log_event(event::view_relayed, "revision", listing.revision, "own_age_ms",
+                      own_age.count() / 1'000'000);
+            listing.relayed = relayed;
+            take_listing(std::move(listing), "peer");
+        }
+    }
+    relaying_ = false;
+}
+
+} // namespace marjorampath::serving
