Copy the catalog's entry before an order is awaited; one copy of what stood twice

Cause: give_order logged an endpoint through a pointer into the catalog after it had waited for the engine; a listing meanwhile may have removed the entry. Found by reading, not by a failing play. Adapters in transit were summed over hosts that are long gone.

Change: the entry is copied; transit is taken from the beats of hosts that are heard. Otherwise behaviour is the same.

--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -112,8 +112,7 @@
         found->second.others_in_flight = in_flight;
 }
 
-void dispatcher::on_version(std::string const& adapter, std::uint64_t version,
-                            time_point /*now*/)
+void dispatcher::on_version(std::string const& adapter, std::uint64_t version)
 {
     auto& known = versions_[adapter];
     known = std::max(known, version);
--- a/marjorampath/dispatch/dispatcher.hpp
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -49,7 +49,7 @@
     void on_others(endpoint_id endpoint, std::uint32_t in_flight);
 
     /// Takes the newest version of an adapter that was announced.
-    void on_version(std::string const& adapter, std::uint64_t version, time_point now);
+    void on_version(std::string const& adapter, std::uint64_t version);
 
     /// Decides about a request. `tried` are endpoints not to be used again.
     dispatch_decision decide(call const& request, std::span<endpoint_id const> tried,
--- a/marjorampath/dispatch/dispatcher_decide.cpp
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -26,6 +26,12 @@
         std::chrono::duration<double, std::milli>(milliseconds));
 }
 
+// A multiple of a time
+duration scaled(duration time, double factor)
+{
+    return from_ms(factor * std::chrono::duration<double, std::milli>(time).count());
+}
+
 } // namespace
 
 std::vector<dispatcher::candidate> dispatcher::usable(call const& request,
@@ -131,9 +137,7 @@
         return wait_for_load(request, target, now);
 
     auto const left = request.deadline - now;
-    auto const longest =
-        from_ms(options_.longest_wait *
-                std::chrono::duration<double, std::milli>(request.objective).count());
+    auto const longest = scaled(request.objective, options_.longest_wait);
     if (best->expected > std::min(left, longest))
         return refuse(error_kind::deadline_unreachable,
                       best->expected - std::min(best->expected, request.objective / 2));
@@ -229,9 +233,7 @@
 
 bool dispatcher::place_may_come(call const& request, time_point now) const
 {
-    auto const patience =
-        from_ms(options_.place_patience *
-                std::chrono::duration<double, std::milli>(request.objective).count());
+    auto const patience = scaled(request.objective, options_.place_patience);
     if (request.adapter.empty() || now - request.arrived >= patience)
         return false;
     return std::any_of(loads_.begin(), loads_.end(),
@@ -306,9 +308,7 @@
 
 duration dispatcher::failure_cost(endpoint_load const& load, duration objective)
 {
-    auto const objective_ms =
-        std::chrono::duration<double, std::milli>(objective).count();
-    return from_ms(objective_ms * (load.failure_rate + load.refusal_rate));
+    return scaled(objective, load.failure_rate + load.refusal_rate);
 }
 
 duration dispatcher::silence_cost(endpoint_load const& load, duration objective,
--- a/marjorampath/peer/peer_table.cpp
+++ b/marjorampath/peer/peer_table.cpp
@@ -78,12 +78,11 @@
     std::vector<host_id> lost;
     for (auto const& [id, known] : peers_)
         if (!known.beat.gone && now - known.heard_at > silence() &&
-            silent_.emplace(id, true).second)
+            silent_.insert(id).second)
             lost.push_back(id);
     std::erase_if(peers_, [&](auto const& entry)
                   { return now - entry.second.heard_at > options_.forget_time; });
-    std::erase_if(silent_,
-                  [&](auto const& entry) { return !peers_.contains(entry.first); });
+    std::erase_if(silent_, [&](host_id host) { return !peers_.contains(host); });
     std::erase_if(hearsay_, [&](auto const& entry) { return entry.second.second < now; });
     std::erase_if(addresses_, [&](auto const& entry) { return entry.second < now; });
     return lost;
--- a/marjorampath/peer/peer_table.hpp
+++ b/marjorampath/peer/peer_table.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -118,7 +119,7 @@
     // Host that was mentioned last in turn
     host_id mentioned_;
     // Hosts that were reported as silent
-    std::map<host_id, bool> silent_;
+    std::set<host_id> silent_;
 };
 
 } // namespace marjorampath
--- a/programs/marjorampath-entry/main.cpp
+++ b/programs/marjorampath-entry/main.cpp
@@ -1,3 +1,4 @@
+#include <programs/marjorampathctl/exit_code.hpp>
 #include <serving/entry/entry_node.hpp>
 #include <serving/entry/entry_settings.hpp>
 #include <serving/telemetry/log.hpp>
@@ -15,17 +16,15 @@
 {
 
 using namespace marjorampath::serving;
-
-// Exit statuses
-constexpr int exit_fine = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_bad_settings = 2;
+using marjorampath::ctl::failure;
+using marjorampath::ctl::success;
+using marjorampath::ctl::usage;
 
 int report(std::vector<settings_problem> const& problems)
 {
     for (auto const& problem : problems)
         fmt::print(stderr, "{}\n", problem.to_string());
-    return exit_bad_settings;
+    return usage;
 }
 
 int serve(entry_settings const& settings, std::string const& file)
@@ -41,11 +40,11 @@
     {
         log_event(event::listener_failed, "error", error.message());
         process_logger().flush();
-        return exit_failed;
+        return failure;
     }
     node.run();
     process_logger().flush();
-    return exit_fine;
+    return success;
 }
 
 } // namespace
@@ -64,6 +63,6 @@
     if (auto const* problems = std::get_if<std::vector<settings_problem>>(&read))
         return report(*problems);
     if (check.getValue())
-        return exit_fine;
+        return success;
     return serve(std::get<entry_settings>(read), file.getValue());
 }
--- /dev/null
+++ b/serving/endpoint/announced_place.cpp
@@ -0,0 +1,16 @@
+#include <serving/endpoint/announced_place.hpp>
+
+namespace marjorampath::serving
+{
+
+directory_entry place_of(endpoint_announcement const& endpoint)
+{
+    return {.id = endpoint.id,
+            .name = endpoint.name,
+            .address = {boost::asio::ip::make_address(endpoint.address), endpoint.port},
+            .kind = {},
+            .zone = endpoint.zone,
+            .leaving = false};
+}
+
+} // namespace marjorampath::serving
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -4,6 +4,7 @@
 #include <serving/caller/caller_session.hpp>
 #include <serving/caller/exchange_control.hpp>
 #include <serving/clock/boot_time.hpp>
+#include <serving/endpoint/announced_place.hpp>
 #include <serving/endpoint/answer_reader.hpp>
 #include <serving/entry/entry_context.hpp>
 #include <serving/entry/entry_dialect.hpp>
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -205,13 +205,7 @@
 boost::asio::awaitable<call_end>
 entry_exchange<Dialect>::exchange(endpoint_announcement const& endpoint)
 {
-    directory_entry const place{
-        .id = endpoint.id,
-        .name = endpoint.name,
-        .address = {boost::asio::ip::make_address(endpoint.address), endpoint.port},
-        .kind = {},
-        .zone = endpoint.zone,
-        .leaving = false};
+    auto const place = place_of(endpoint);
     auto const connected = co_await connect(place);
     if (aborted())
         co_return call_end::cancelled;
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -202,7 +202,7 @@
         });
 }
 
-peer_beat entry_fleet::make_beat(time_point /*now*/) const
+peer_beat entry_fleet::make_beat() const
 {
     auto beat = options_.self;
     beat.incarnation = peers_.incarnation();
@@ -215,7 +215,7 @@
 void entry_fleet::beat()
 {
     auto const now = boot_now();
-    auto const common = make_beat(now);
+    auto const common = make_beat();
     for (auto const& address : peers_.targets(now))
     {
         auto own = common;
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -136,7 +136,7 @@
     void send(peer_message const& message, peer_address const& to);
     void send(peer_message const& message, host_id to);
     // The beat of this host
-    [[nodiscard]] peer_beat make_beat(time_point now) const;
+    [[nodiscard]] peer_beat make_beat() const;
 
     // Settings
     entry_fleet_options options_;
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -96,6 +96,9 @@
     boost::asio::awaitable<void> answer_service(caller_session& session,
                                                 caller_message const& message);
 
+    // Waits; a cancelled timer ends it
+    boost::asio::awaitable<void> wait_for(boost::asio::steady_timer& timer,
+                                          duration time);
     // Reads listings until the node ends
     boost::asio::awaitable<void> keep_listing();
     // Watches the operator until the node ends
@@ -142,6 +145,8 @@
     void watch_signals();
     // Reads the settings again
     void reload();
+    // The bounds on repeated sends
+    [[nodiscard]] retry_budget_options budget_options() const;
     // Whether this host takes callers
     [[nodiscard]] bool ready() const;
     // Takes no new callers any more
@@ -198,8 +203,6 @@
     std::uint64_t watched_revision_ = 0;
     // Requests at plain endpoints by other hosts
     std::map<endpoint_id, std::map<host_id, std::uint32_t>> others_;
-    // Adapters in transit by other hosts
-    std::map<host_id, std::uint32_t> transit_;
     // Engines that were announced as the fleet's resources
     std::set<endpoint_id> known_engines_;
     // Reports under way
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -176,14 +176,20 @@
     settings_.retry_extra = fresh.retry_extra;
     if (context_.routes)
         for (auto& [service, budget] : context_.budgets)
-            budget.set_options({.ratio = settings_.retry_ratio,
-                                .window = settings_.retry_window,
-                                .extra = settings_.retry_extra});
+            budget.set_options(budget_options());
     auto const moved =
         fresh.callers != settings_.callers || fresh.store != settings_.store;
     log_event(event::settings_reloaded, "needs_restart", moved);
 }
 
+template <entry_platform Platform>
+retry_budget_options entry_node<Platform>::budget_options() const
+{
+    return {.ratio = settings_.retry_ratio,
+            .window = settings_.retry_window,
+            .extra = settings_.retry_extra};
+}
+
 template <entry_platform Platform>
 bool entry_node<Platform>::ready() const
 {
@@ -301,16 +307,18 @@
 template <entry_platform Platform>
 boost::asio::awaitable<void> entry_node<Platform>::give_order(planned_order order)
 {
-    auto const* announced = catalog_.find(order.endpoint);
+    // The catalog may change while the engine answers, so its entry is copied
+    auto const* known = catalog_.find(order.endpoint);
+    auto const announced = known ? *known : endpoint_announcement{};
     auto const number = fleet_.may_order(order.endpoint);
     auto result = order_result::refused;
     auto const begin = boot_now();
-    if (announced && number && !stopping_)
+    if (known && number && !stopping_)
     {
         order.fencing_number = *number;
-        result = co_await engines_.give(*announced, order);
+        result = co_await engines_.give(announced, order);
     }
-    log_event(event::order_given, "endpoint", announced ? announced->name : "-", "kind",
+    log_event(event::order_given, "endpoint", announced.name, "kind",
               to_string(order.kind), "adapter", order.adapter, "fence",
               order.fencing_number, "result", to_string(result), "leased",
               number.has_value(), "took_ms", (boot_now() - begin).count() / 1'000'000);
@@ -361,10 +369,9 @@
         context_.dispatch.on_status(status, now);
     for (auto const& known : beat.convictions)
         context_.suspects.merge(now, known);
-    transit_[beat.host] = beat.transit;
     std::uint32_t foreign = 0;
-    for (auto const& [host, count] : transit_)
-        foreign += count;
+    for (auto const& [host, known] : fleet_.peers().peers())
+        foreign += fleet_.peers().heard(host, now) ? known.beat.transit : 0;
     planner_.set_foreign_transit(foreign);
 
     // What a beat does not mention, its sender has nothing at
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -2,17 +2,24 @@
 {
 
 template <entry_platform Platform>
-boost::asio::awaitable<void> entry_node<Platform>::keep_listing()
+boost::asio::awaitable<void>
+entry_node<Platform>::wait_for(boost::asio::steady_timer& timer, duration time)
 {
     boost::system::error_code ignored;
+    timer.expires_after(time);
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void> entry_node<Platform>::keep_listing()
+{
     while (!finished_)
     {
         // Where other hosts of the zone read for all, this one reads from them
         if (!fleet_.peers().is_reader(boot_now()) && context_.routes)
         {
-            listing_timer_.expires_after(times_.listing_interval);
-            co_await listing_timer_.async_wait(
-                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            co_await wait_for(listing_timer_, times_.listing_interval);
             continue;
         }
         auto listing = co_await source_.read_endpoints();
@@ -22,10 +29,8 @@
         auto const failed = static_cast<bool>(listing.error);
         if (!failed)
             take_listing(std::move(listing), "store");
-        listing_timer_.expires_after(failed ? times_.read_pause
-                                            : times_.listing_interval);
-        co_await listing_timer_.async_wait(
-            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await wait_for(listing_timer_,
+                          failed ? times_.read_pause : times_.listing_interval);
     }
 }
 
@@ -43,15 +48,12 @@
 template <entry_platform Platform>
 boost::asio::awaitable<void> entry_node<Platform>::watch_operator()
 {
-    boost::system::error_code ignored;
     while (!finished_)
     {
         if (!fleet_.peers().is_reader(boot_now()) && context_.routes)
         {
             watched_revision_ = 0;
-            watch_timer_.expires_after(times_.read_pause);
-            co_await watch_timer_.async_wait(
-                boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+            co_await wait_for(watch_timer_, times_.read_pause);
             continue;
         }
         operator_news news;
@@ -70,9 +72,7 @@
 
         // Whatever failed, the history may be gone: read all of it again
         watched_revision_ = 0;
-        watch_timer_.expires_after(times_.read_pause);
-        co_await watch_timer_.async_wait(
-            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+        co_await wait_for(watch_timer_, times_.read_pause);
     }
 }
 
@@ -83,14 +83,13 @@
         log_event(event::deployment_ignored, "key", key, "source", source);
     if (news.configuration)
         take_configuration(news.configuration, source);
-    auto const now = boot_now();
     for (auto const& version : news.versions)
     {
         if (context_.dispatch.required_version(version.adapter) >= version.version)
             continue;
         log_event(event::version_announced, "adapter", version.adapter, "version",
                   version.version, "source", source);
-        context_.dispatch.on_version(version.adapter, version.version, now);
+        context_.dispatch.on_version(version.adapter, version.version);
         planner_.on_version(version.adapter, version.version);
     }
 }
@@ -112,10 +111,7 @@
     limits.max_body_bytes = configuration->bounds.max_body_bytes;
     limits.idle_timeout = configuration->bounds.idle_timeout;
     for (auto const& service : configuration->services)
-        context_.budgets.try_emplace(
-            service.id, retry_budget_options{.ratio = settings_.retry_ratio,
-                                             .window = settings_.retry_window,
-                                             .extra = settings_.retry_extra});
+        context_.budgets.try_emplace(service.id, budget_options());
     update_engines();
 
     // Hosts that do not read the store hear of it at once
--- a/tests/unit/dispatch/dispatcher_test.cpp
+++ b/tests/unit/dispatch/dispatcher_test.cpp
@@ -309,7 +309,7 @@
 BOOST_AUTO_TEST_CASE(an_old_version_is_not_used_once_a_newer_one_is_announced)
 {
     report(0, {{.name = "m/a1", .version = 1}});
-    dispatch.on_version("m/a1", 2, now);
+    dispatch.on_version("m/a1", 2);
     auto const decision = dispatch.decide(request("m/a1"), {}, now);
     BOOST_TEST((decision.act != dispatch_act::send));
 }
