--- a/marjorampath/capacity/capacity_model.cpp
+++ b/marjorampath/capacity/capacity_model.cpp
@@ -19,8 +19,7 @@
           cells_per_region(
               std::ceil(target.engines / target.regions / design.engines_per_cell)),
           cells_per_node(std::ceil(cells_per_region / hosts_per_region)),
-          resources_per_node((cells_per_region + design.key_shards_per_region) /
-                             hosts_per_region),
+          resources_per_node(cells_per_region / hosts_per_region),
           witnesses(std::ceil(target.zones / target.regions) * design.witnesses_per_zone),
           requests_per_node(target.requests_per_second / target.nodes),
           requests_per_cell(target.requests_per_second / target.regions /
@@ -84,14 +83,13 @@
     auto const renewals = sizes.hosts_per_region / design.renew_period_s;
     auto const bytes =
         slopes.lease_bytes + sizes.resources_per_node * slopes.lease_resource_bytes;
-    auto const resources = sizes.cells_per_region + design.key_shards_per_region;
     return {.role = "witness (oldest hosts of a zone)",
             .mechanism = "answers the renewals of every host of the region",
             .grows_with = "hosts and resources of the region",
             .messages_per_second = 2 * renewals,
             .bytes_per_second = renewals * bytes,
             .core_share = renewals * slopes.call_us / 2 / us_per_second,
-            .memory_bytes = resources * slopes.host_memory};
+            .memory_bytes = sizes.cells_per_region * slopes.host_memory};
 }
 
 role_cost reader_cost(fleet_target const& target, derived_sizes const& sizes,
@@ -140,20 +138,6 @@
             .per_request = true};
 }
 
-role_cost key_cost(derived_sizes const& sizes, fleet_design const& design,
-                   measured_slopes const& slopes)
-{
-    auto const keys = sizes.requests_per_node * design.keyed_share * design.key_copies;
-    return {.role = "idempotency keys",
-            .mechanism = "home by leased shard, a backup and the entry host remember",
-            .grows_with = "keyed requests and retention",
-            .messages_per_second = 2 * keys,
-            .bytes_per_second = keys * slopes.key_bytes,
-            .core_share = keys * slopes.call_us / us_per_second,
-            .memory_bytes = keys * design.key_retention_s * slopes.key_memory,
-            .per_request = true};
-}
-
 } // namespace
 
 std::vector<role_cost> compute_role_costs(fleet_target const& target,
@@ -167,8 +151,7 @@
             witness_cost(sizes, design, slopes),
             reader_cost(target, sizes, slopes),
             engine_watch_cost(sizes, design, slopes),
-            grant_cost(target, sizes, slopes),
-            key_cost(sizes, design, slopes)};
+            grant_cost(target, sizes, slopes)};
 }
 
 double configuration_reads_per_second(fleet_target const& target,
--- a/marjorampath/capacity/measured_slopes.hpp
+++ b/marjorampath/capacity/measured_slopes.hpp
@@ -20,8 +20,6 @@
     double grant_bytes = 0;
     /// Bytes of an engine's report with its request.
     double engine_report_bytes = 0;
-    /// Bytes of beginning, copying and completing one key.
-    double key_bytes = 0;
     /// Bytes that one changed sheet costs a host that fetches it.
     double sheet_change_bytes = 0;
     /// Processor time of one call between hosts, both sides, in microseconds.
@@ -40,8 +38,6 @@
     double engine_memory = 0;
     /// Memory of a known adapter version in a cell, in bytes.
     double cell_adapter_memory = 0;
-    /// Memory of a remembered key, in bytes.
-    double key_memory = 0;
     /// Memory of an idle node of three, in bytes.
     double base_memory = 0;
     /// Processor time of an idle node of three, in microseconds a second.
@@ -64,7 +60,6 @@
     slope_field{"lease_resource_bytes", &measured_slopes::lease_resource_bytes},
     slope_field{"grant_bytes", &measured_slopes::grant_bytes},
     slope_field{"engine_report_bytes", &measured_slopes::engine_report_bytes},
-    slope_field{"key_bytes", &measured_slopes::key_bytes},
     slope_field{"sheet_change_bytes", &measured_slopes::sheet_change_bytes},
     slope_field{"call_us", &measured_slopes::call_us},
     slope_field{"decision_us", &measured_slopes::decision_us},
@@ -74,7 +69,6 @@
     slope_field{"host_memory", &measured_slopes::host_memory},
     slope_field{"engine_memory", &measured_slopes::engine_memory},
     slope_field{"cell_adapter_memory", &measured_slopes::cell_adapter_memory},
-    slope_field{"key_memory", &measured_slopes::key_memory},
     slope_field{"base_memory", &measured_slopes::base_memory},
     slope_field{"base_us", &measured_slopes::base_us},
 };
--- a/marjorampath/core/error_kind.hpp
+++ b/marjorampath/core/error_kind.hpp
@@ -50,12 +50,6 @@
     endpoint_lost,
     /// The answer of the endpoint was not understood.
     endpoint_protocol,
-    /// The key was used before with another request.
-    key_mismatch,
-    /// A request with the same key is still running.
-    key_in_progress,
-    /// Whether a request with this key ran before can no longer be told.
-    key_unknown,
     /// The host is shutting down and takes no new request.
     shutting_down,
     /// The host that decides about the request cannot be reached.
--- a/marjorampath/core/identifier.hpp
+++ b/marjorampath/core/identifier.hpp
@@ -69,14 +69,12 @@
 using service_id = identifier<struct service_tag>;
 /// A team whose requests share a fair share of the capacity.
 using team_id = identifier<struct team_tag>;
-/// A leased resource: an engine cell or an idempotency-key shard.
+/// A leased resource: an engine cell, or one engine.
 using resource_id = identifier<struct resource_tag>;
 /// One request of a caller, unique across hosts.
 using request_id = identifier<struct request_tag>;
 /// The content of a request, equal for the same request sent again.
 using fingerprint_id = identifier<struct fingerprint_tag>;
-/// An idempotency key together with the caller scope that it is valid in.
-using key_id = identifier<struct key_tag>;
 
 } // namespace marjorampath
 
--- a/marjorampath/gossip/message_size.cpp
+++ b/marjorampath/gossip/message_size.cpp
@@ -61,19 +61,4 @@
     return message_overhead + 6 * word + message.resources.size() * 2 * word;
 }
 
-std::size_t encoded_size(key_begin const& /*message*/) noexcept
-{
-    return message_overhead + 7 * word;
-}
-
-std::size_t encoded_size(key_begin_reply const& message) noexcept
-{
-    return message_overhead + 8 * word + message.answer.size();
-}
-
-std::size_t encoded_size(key_copy const& message) noexcept
-{
-    return message_overhead + 12 * word + message.record.answer.size();
-}
-
 } // namespace marjorampath
--- a/marjorampath/gossip/message_size.hpp
+++ b/marjorampath/gossip/message_size.hpp
@@ -1,9 +1,6 @@
 #pragma once
 
 #include <marjorampath/gossip/gossip.hpp>
-#include <marjorampath/key/key_begin.hpp>
-#include <marjorampath/key/key_begin_reply.hpp>
-#include <marjorampath/key/key_copy.hpp>
 #include <marjorampath/lease/lease_release.hpp>
 #include <marjorampath/lease/lease_reply.hpp>
 #include <marjorampath/lease/lease_request.hpp>
@@ -39,11 +36,5 @@
 std::size_t encoded_size(lease_reply const& message) noexcept;
 /// Bytes of a release.
 std::size_t encoded_size(lease_release const& message) noexcept;
-/// Bytes of a question to a key's home.
-std::size_t encoded_size(key_begin const& message) noexcept;
-/// Bytes of a home's answer.
-std::size_t encoded_size(key_begin_reply const& message) noexcept;
-/// Bytes of a copy for the backup.
-std::size_t encoded_size(key_copy const& message) noexcept;
 
 } // namespace marjorampath
--- a/programs/marjorampath-bench/slopes.cpp
+++ b/programs/marjorampath-bench/slopes.cpp
@@ -1,7 +1,6 @@
 #include <marjorampath/cell/cell.hpp>
 #include <marjorampath/core/hash.hpp>
 #include <marjorampath/gossip/message_size.hpp>
-#include <marjorampath/key/key_memory.hpp>
 #include <marjorampath/membership/host_table.hpp>
 #include <marjorampath/sheet/sheet_packer.hpp>
 #include <marjorampath/sheet/sheet_reader.hpp>
@@ -25,7 +24,6 @@
 constexpr std::size_t adapter_count = 10'000;
 constexpr std::size_t engine_count = 16;
 constexpr std::size_t host_count = 68;
-constexpr std::size_t key_count = 50'000;
 
 // Heap that is in use, large blocks included, in bytes
 double used_memory()
@@ -195,22 +193,6 @@
     print("host_memory", (used_memory() - memory) / host_count, "bytes");
 }
 
-void measure_keys()
-{
-    auto const now = time_point(std::chrono::hours(1));
-    auto const memory = used_memory();
-    key_memory keys({});
-    auto const shard = resource_id::of("shard");
-    std::string const answer(200, 'x');
-    for (std::size_t index = 1; index <= key_count; ++index)
-        keys.merge(now, shard,
-                   {.key = key_id(hash_combine(index, 2)),
-                    .request = request_id(index),
-                    .state = key_state::answered,
-                    .answer = answer});
-    print("key_memory", (used_memory() - memory) / key_count, "bytes");
-}
-
 // Bytes of a message between hosts as its codec writes it
 template <class Wire, class Message>
 double wire_bytes(Message const& message)
@@ -254,13 +236,6 @@
     verdict.verdicts.emplace_back();
     auto const one = static_cast<double>(encoded_size(want) + encoded_size(verdict));
     print("lease_resource_bytes", one - empty, "bytes");
-
-    key_copy copy;
-    copy.record.answer.assign(200, 'x');
-    auto const key_bytes =
-        static_cast<double>(encoded_size(key_begin{}) + encoded_size(key_begin_reply{}) +
-                            2 * encoded_size(copy));
-    print("key_bytes", key_bytes + 3 * two_messages, "bytes");
 }
 
 } // namespace
@@ -270,7 +245,6 @@
     measure_sheet();
     measure_cell();
     measure_hosts();
-    measure_keys();
     measure_messages();
     measure_grants();
     return 0;
--- a/schema/node.capnp.h
+++ b/schema/node.capnp.h
@@ -38,16 +38,6 @@
 CAPNP_DECLARE_SCHEMA(9655ede1ed893f35);
 CAPNP_DECLARE_SCHEMA(c113d9eca8a2ba85);
 CAPNP_DECLARE_SCHEMA(ba06f27b8ca74a74);
-CAPNP_DECLARE_SCHEMA(d141ca2b3f314b82);
-CAPNP_DECLARE_SCHEMA(e78e3603efd2e9f0);
-CAPNP_DECLARE_SCHEMA(ff9a06209dc612d4);
-CAPNP_DECLARE_SCHEMA(e472ce46d8c8bc38);
-CAPNP_DECLARE_SCHEMA(854961e6a10bffc6);
-CAPNP_DECLARE_SCHEMA(d23274fa704cbd6c);
-CAPNP_DECLARE_SCHEMA(beb0074454153ac6);
-CAPNP_DECLARE_SCHEMA(f23909d09790b162);
-CAPNP_DECLARE_SCHEMA(e515e4cae14fff5d);
-CAPNP_DECLARE_SCHEMA(dee8b09725838fdd);
 CAPNP_DECLARE_SCHEMA(83a77b383dd8f847);
 CAPNP_DECLARE_SCHEMA(f7b2c35c4918fe95);
 CAPNP_DECLARE_SCHEMA(c9be2f42b8b558ce);
@@ -87,38 +77,6 @@
 CAPNP_DECLARE_SCHEMA(e135c7086b3c244d);
 CAPNP_DECLARE_SCHEMA(db3201c65313d4db);
 CAPNP_DECLARE_SCHEMA(8b18517c9abd0819);
-CAPNP_DECLARE_SCHEMA(8c1832e5da5fcef8);
-CAPNP_DECLARE_SCHEMA(a41abf043b8c0846);
-CAPNP_DECLARE_SCHEMA(8889f640e6276b7e);
-enum class KeyVerdict_8889f640e6276b7e: uint16_t {
-  RUN,
-  REPLAY,
-  IN_PROGRESS,
-  MISMATCH,
-  UNKNOWN,
-  NOT_HOME,
-  UNAVAILABLE,
-};
-CAPNP_DECLARE_ENUM(KeyVerdict, 8889f640e6276b7e);
-CAPNP_DECLARE_SCHEMA(fe4be3e9ef2bdcaa);
-CAPNP_DECLARE_SCHEMA(cfdce299f420cd13);
-enum class KeyState_cfdce299f420cd13: uint16_t {
-  RUNNING,
-  ANSWERED,
-  UNKNOWN,
-  NOT_RUN,
-};
-CAPNP_DECLARE_ENUM(KeyState, cfdce299f420cd13);
-CAPNP_DECLARE_SCHEMA(8ce6dd2763ab4371);
-CAPNP_DECLARE_SCHEMA(99ea7756da79e767);
-CAPNP_DECLARE_SCHEMA(f92f336180b0b3b6);
-CAPNP_DECLARE_SCHEMA(96be195488d39237);
-CAPNP_DECLARE_SCHEMA(af03c10e1dc606cf);
-CAPNP_DECLARE_SCHEMA(c99a90ec9b26c6db);
-CAPNP_DECLARE_SCHEMA(be8a4038054b343f);
-CAPNP_DECLARE_SCHEMA(88b361174089d9bd);
-CAPNP_DECLARE_SCHEMA(a5703cbbc4815229);
-CAPNP_DECLARE_SCHEMA(d7d4f8320d440b02);
 CAPNP_DECLARE_SCHEMA(a9219185ddba9a3e);
 CAPNP_DECLARE_SCHEMA(bc777683562080e6);
 CAPNP_DECLARE_SCHEMA(b65107e7a52ea642);
@@ -153,18 +111,8 @@
   struct ReleaseGrantResults;
   struct RecallGrantsParams;
   struct RecallGrantsResults;
-  struct KeyBeginParams;
-  struct KeyBeginResults;
-  struct KeyCompleteParams;
-  struct KeyCompleteResults;
-  struct KeyCopyParams;
-  struct KeyCopyResults;
-  struct KeyRecoverParams;
-  struct KeyRecoverResults;
   struct FetchSheetParams;
   struct FetchSheetResults;
-  struct KeySnapshotParams;
-  struct KeySnapshotResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -414,126 +362,6 @@
   };
 };
 
-struct Node::KeyBeginParams {
-  KeyBeginParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c113d9eca8a2ba85, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyBeginResults {
-  KeyBeginResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ba06f27b8ca74a74, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyCompleteParams {
-  KeyCompleteParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d141ca2b3f314b82, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyCompleteResults {
-  KeyCompleteResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e78e3603efd2e9f0, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyCopyParams {
-  KeyCopyParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ff9a06209dc612d4, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyCopyResults {
-  KeyCopyResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e472ce46d8c8bc38, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyRecoverParams {
-  KeyRecoverParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(854961e6a10bffc6, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeyRecoverResults {
-  KeyRecoverResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d23274fa704cbd6c, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct Node::FetchSheetParams {
   FetchSheetParams() = delete;
 
@@ -542,7 +370,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(beb0074454153ac6, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c113d9eca8a2ba85, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -557,37 +385,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f23909d09790b162, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeySnapshotParams {
-  KeySnapshotParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e515e4cae14fff5d, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::KeySnapshotResults {
-  KeySnapshotResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dee8b09725838fdd, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ba06f27b8ca74a74, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -934,386 +732,157 @@
   };
 };
 
-struct KeyTime {
-  KeyTime() = delete;
+struct SheetRequest {
+  SheetRequest() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c1832e5da5fcef8, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a9219185ddba9a3e, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct KeyBegin {
-  KeyBegin() = delete;
+struct SheetPart {
+  SheetPart() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a41abf043b8c0846, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(bc777683562080e6, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-typedef ::capnp::schemas::KeyVerdict_8889f640e6276b7e KeyVerdict;
-
-struct KeyBeginReply {
-  KeyBeginReply() = delete;
+struct SheetReply {
+  SheetReply() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe4be3e9ef2bdcaa, 7, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b65107e7a52ea642, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-typedef ::capnp::schemas::KeyState_cfdce299f420cd13 KeyState;
+// =======================================================================================
 
-struct KeyComplete {
-  KeyComplete() = delete;
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Node Calls;
+  typedef Node Reads;
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8ce6dd2763ab4371, 5, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
+  ::capnp::Request< ::marjorampath::schema::Node::HelloParams,  ::marjorampath::schema::Node::HelloResults> helloRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::ProbeParams,  ::marjorampath::schema::Node::ProbeResults> probeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::IndirectProbeParams,  ::marjorampath::schema::Node::IndirectProbeResults> indirectProbeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::LeaseParams,  ::marjorampath::schema::Node::LeaseResults> leaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::ReleaseLeaseParams,  ::marjorampath::schema::Node::ReleaseLeaseResults> releaseLeaseRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::GrantParams,  ::marjorampath::schema::Node::GrantResults> grantRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::ReleaseGrantParams,  ::marjorampath::schema::Node::ReleaseGrantResults> releaseGrantRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::RecallGrantsParams,  ::marjorampath::schema::Node::RecallGrantsResults> recallGrantsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::marjorampath::schema::Node::FetchSheetParams,  ::marjorampath::schema::Node::FetchSheetResults> fetchSheetRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-struct KeyCompleteReply {
-  KeyCompleteReply() = delete;
+protected:
+  Client() = default;
+};
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(99ea7756da79e767, 4, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
-struct KeyRecord {
-  KeyRecord() = delete;
+protected:
+  typedef  ::marjorampath::schema::Node::HelloParams HelloParams;
+  typedef  ::marjorampath::schema::Node::HelloResults HelloResults;
+  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
+  virtual ::kj::Promise<void> hello(HelloContext context);
+  typedef  ::marjorampath::schema::Node::ProbeParams ProbeParams;
+  typedef  ::marjorampath::schema::Node::ProbeResults ProbeResults;
+  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
+  virtual ::kj::Promise<void> probe(ProbeContext context);
+  typedef  ::marjorampath::schema::Node::IndirectProbeParams IndirectProbeParams;
+  typedef  ::marjorampath::schema::Node::IndirectProbeResults IndirectProbeResults;
+  typedef ::capnp::CallContext<IndirectProbeParams, IndirectProbeResults> IndirectProbeContext;
+  virtual ::kj::Promise<void> indirectProbe(IndirectProbeContext context);
+  typedef  ::marjorampath::schema::Node::LeaseParams LeaseParams;
+  typedef  ::marjorampath::schema::Node::LeaseResults LeaseResults;
+  typedef ::capnp::CallContext<LeaseParams, LeaseResults> LeaseContext;
+  virtual ::kj::Promise<void> lease(LeaseContext context);
+  typedef  ::marjorampath::schema::Node::ReleaseLeaseParams ReleaseLeaseParams;
+  typedef  ::marjorampath::schema::Node::ReleaseLeaseResults ReleaseLeaseResults;
+  typedef ::capnp::CallContext<ReleaseLeaseParams, ReleaseLeaseResults> ReleaseLeaseContext;
+  virtual ::kj::Promise<void> releaseLease(ReleaseLeaseContext context);
+  typedef  ::marjorampath::schema::Node::GrantParams GrantParams;
+  typedef  ::marjorampath::schema::Node::GrantResults GrantResults;
+  typedef ::capnp::CallContext<GrantParams, GrantResults> GrantContext;
+  virtual ::kj::Promise<void> grant(GrantContext context);
+  typedef  ::marjorampath::schema::Node::ReleaseGrantParams ReleaseGrantParams;
+  typedef  ::marjorampath::schema::Node::ReleaseGrantResults ReleaseGrantResults;
+  typedef ::capnp::CallContext<ReleaseGrantParams, ReleaseGrantResults> ReleaseGrantContext;
+  virtual ::kj::Promise<void> releaseGrant(ReleaseGrantContext context);
+  typedef  ::marjorampath::schema::Node::RecallGrantsParams RecallGrantsParams;
+  typedef  ::marjorampath::schema::Node::RecallGrantsResults RecallGrantsResults;
+  typedef ::capnp::CallContext<RecallGrantsParams, RecallGrantsResults> RecallGrantsContext;
+  virtual ::kj::Promise<void> recallGrants(RecallGrantsContext context);
+  typedef  ::marjorampath::schema::Node::FetchSheetParams FetchSheetParams;
+  typedef  ::marjorampath::schema::Node::FetchSheetResults FetchSheetResults;
+  typedef ::capnp::CallContext<FetchSheetParams, FetchSheetResults> FetchSheetContext;
+  virtual ::kj::Promise<void> fetchSheet(FetchSheetContext context);
 
-  class Reader;
-  class Builder;
-  class Pipeline;
+  inline  ::marjorampath::schema::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::marjorampath::schema::Node>();
+  }
 
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f92f336180b0b3b6, 6, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
+#endif  // !CAPNP_LITE
 
-struct KeyCopy {
-  KeyCopy() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(96be195488d39237, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct KeyCopyReply {
-  KeyCopyReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af03c10e1dc606cf, 6, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct KeyRecoveryRequest {
-  KeyRecoveryRequest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c99a90ec9b26c6db, 3, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct KeyRecoveryReply {
-  KeyRecoveryReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be8a4038054b343f, 7, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct KeyGap {
-  KeyGap() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88b361174089d9bd, 2, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct KeySnapshot {
-  KeySnapshot() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5703cbbc4815229, 4, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct KeySnapshotReply {
-  KeySnapshotReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d7d4f8320d440b02, 4, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct SheetRequest {
-  SheetRequest() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a9219185ddba9a3e, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct SheetPart {
-  SheetPart() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc777683562080e6, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct SheetReply {
-  SheetReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b65107e7a52ea642, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-// =======================================================================================
-
-#if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Node Calls;
-  typedef Node Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::marjorampath::schema::Node::HelloParams,  ::marjorampath::schema::Node::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::ProbeParams,  ::marjorampath::schema::Node::ProbeResults> probeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::IndirectProbeParams,  ::marjorampath::schema::Node::IndirectProbeResults> indirectProbeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::LeaseParams,  ::marjorampath::schema::Node::LeaseResults> leaseRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::ReleaseLeaseParams,  ::marjorampath::schema::Node::ReleaseLeaseResults> releaseLeaseRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::GrantParams,  ::marjorampath::schema::Node::GrantResults> grantRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::ReleaseGrantParams,  ::marjorampath::schema::Node::ReleaseGrantResults> releaseGrantRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::RecallGrantsParams,  ::marjorampath::schema::Node::RecallGrantsResults> recallGrantsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::KeyBeginParams,  ::marjorampath::schema::Node::KeyBeginResults> keyBeginRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::KeyCompleteParams,  ::marjorampath::schema::Node::KeyCompleteResults> keyCompleteRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::KeyCopyParams,  ::marjorampath::schema::Node::KeyCopyResults> keyCopyRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::KeyRecoverParams,  ::marjorampath::schema::Node::KeyRecoverResults> keyRecoverRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::FetchSheetParams,  ::marjorampath::schema::Node::FetchSheetResults> fetchSheetRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::marjorampath::schema::Node::KeySnapshotParams,  ::marjorampath::schema::Node::KeySnapshotResults> keySnapshotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Node Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::marjorampath::schema::Node::HelloParams HelloParams;
-  typedef  ::marjorampath::schema::Node::HelloResults HelloResults;
-  typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
-  virtual ::kj::Promise<void> hello(HelloContext context);
-  typedef  ::marjorampath::schema::Node::ProbeParams ProbeParams;
-  typedef  ::marjorampath::schema::Node::ProbeResults ProbeResults;
-  typedef ::capnp::CallContext<ProbeParams, ProbeResults> ProbeContext;
-  virtual ::kj::Promise<void> probe(ProbeContext context);
-  typedef  ::marjorampath::schema::Node::IndirectProbeParams IndirectProbeParams;
-  typedef  ::marjorampath::schema::Node::IndirectProbeResults IndirectProbeResults;
-  typedef ::capnp::CallContext<IndirectProbeParams, IndirectProbeResults> IndirectProbeContext;
-  virtual ::kj::Promise<void> indirectProbe(IndirectProbeContext context);
-  typedef  ::marjorampath::schema::Node::LeaseParams LeaseParams;
-  typedef  ::marjorampath::schema::Node::LeaseResults LeaseResults;
-  typedef ::capnp::CallContext<LeaseParams, LeaseResults> LeaseContext;
-  virtual ::kj::Promise<void> lease(LeaseContext context);
-  typedef  ::marjorampath::schema::Node::ReleaseLeaseParams ReleaseLeaseParams;
-  typedef  ::marjorampath::schema::Node::ReleaseLeaseResults ReleaseLeaseResults;
-  typedef ::capnp::CallContext<ReleaseLeaseParams, ReleaseLeaseResults> ReleaseLeaseContext;
-  virtual ::kj::Promise<void> releaseLease(ReleaseLeaseContext context);
-  typedef  ::marjorampath::schema::Node::GrantParams GrantParams;
-  typedef  ::marjorampath::schema::Node::GrantResults GrantResults;
-  typedef ::capnp::CallContext<GrantParams, GrantResults> GrantContext;
-  virtual ::kj::Promise<void> grant(GrantContext context);
-  typedef  ::marjorampath::schema::Node::ReleaseGrantParams ReleaseGrantParams;
-  typedef  ::marjorampath::schema::Node::ReleaseGrantResults ReleaseGrantResults;
-  typedef ::capnp::CallContext<ReleaseGrantParams, ReleaseGrantResults> ReleaseGrantContext;
-  virtual ::kj::Promise<void> releaseGrant(ReleaseGrantContext context);
-  typedef  ::marjorampath::schema::Node::RecallGrantsParams RecallGrantsParams;
-  typedef  ::marjorampath::schema::Node::RecallGrantsResults RecallGrantsResults;
-  typedef ::capnp::CallContext<RecallGrantsParams, RecallGrantsResults> RecallGrantsContext;
-  virtual ::kj::Promise<void> recallGrants(RecallGrantsContext context);
-  typedef  ::marjorampath::schema::Node::KeyBeginParams KeyBeginParams;
-  typedef  ::marjorampath::schema::Node::KeyBeginResults KeyBeginResults;
-  typedef ::capnp::CallContext<KeyBeginParams, KeyBeginResults> KeyBeginContext;
-  virtual ::kj::Promise<void> keyBegin(KeyBeginContext context);
-  typedef  ::marjorampath::schema::Node::KeyCompleteParams KeyCompleteParams;
-  typedef  ::marjorampath::schema::Node::KeyCompleteResults KeyCompleteResults;
-  typedef ::capnp::CallContext<KeyCompleteParams, KeyCompleteResults> KeyCompleteContext;
-  virtual ::kj::Promise<void> keyComplete(KeyCompleteContext context);
-  typedef  ::marjorampath::schema::Node::KeyCopyParams KeyCopyParams;
-  typedef  ::marjorampath::schema::Node::KeyCopyResults KeyCopyResults;
-  typedef ::capnp::CallContext<KeyCopyParams, KeyCopyResults> KeyCopyContext;
-  virtual ::kj::Promise<void> keyCopy(KeyCopyContext context);
-  typedef  ::marjorampath::schema::Node::KeyRecoverParams KeyRecoverParams;
-  typedef  ::marjorampath::schema::Node::KeyRecoverResults KeyRecoverResults;
-  typedef ::capnp::CallContext<KeyRecoverParams, KeyRecoverResults> KeyRecoverContext;
-  virtual ::kj::Promise<void> keyRecover(KeyRecoverContext context);
-  typedef  ::marjorampath::schema::Node::FetchSheetParams FetchSheetParams;
-  typedef  ::marjorampath::schema::Node::FetchSheetResults FetchSheetResults;
-  typedef ::capnp::CallContext<FetchSheetParams, FetchSheetResults> FetchSheetContext;
-  virtual ::kj::Promise<void> fetchSheet(FetchSheetContext context);
-  typedef  ::marjorampath::schema::Node::KeySnapshotParams KeySnapshotParams;
-  typedef  ::marjorampath::schema::Node::KeySnapshotResults KeySnapshotResults;
-  typedef ::capnp::CallContext<KeySnapshotParams, KeySnapshotResults> KeySnapshotContext;
-  virtual ::kj::Promise<void> keySnapshot(KeySnapshotContext context);
-
-  inline  ::marjorampath::schema::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::marjorampath::schema::Node>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Node::HelloParams::Reader {
-public:
-  typedef HelloParams Reads;
+class Node::HelloParams::Reader {
+public:
+  typedef HelloParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2623,9 +2192,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyBeginParams::Reader {
+class Node::FetchSheetParams::Reader {
 public:
-  typedef KeyBeginParams Reads;
+  typedef FetchSheetParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2641,7 +2210,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::marjorampath::schema::KeyBegin::Reader getRequest() const;
+  inline  ::marjorampath::schema::SheetRequest::Reader getRequest() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2655,9 +2224,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyBeginParams::Builder {
+class Node::FetchSheetParams::Builder {
 public:
-  typedef KeyBeginParams Builds;
+  typedef FetchSheetParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2672,11 +2241,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::marjorampath::schema::KeyBegin::Builder getRequest();
-  inline void setRequest( ::marjorampath::schema::KeyBegin::Reader value);
-  inline  ::marjorampath::schema::KeyBegin::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::KeyBegin>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyBegin> disownRequest();
+  inline  ::marjorampath::schema::SheetRequest::Builder getRequest();
+  inline void setRequest( ::marjorampath::schema::SheetRequest::Reader value);
+  inline  ::marjorampath::schema::SheetRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::SheetRequest>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::SheetRequest> disownRequest();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2688,15 +2257,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyBeginParams::Pipeline {
+class Node::FetchSheetParams::Pipeline {
 public:
-  typedef KeyBeginParams Pipelines;
+  typedef FetchSheetParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyBegin::Pipeline getRequest();
+  inline  ::marjorampath::schema::SheetRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2705,9 +2274,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyBeginResults::Reader {
+class Node::FetchSheetResults::Reader {
 public:
-  typedef KeyBeginResults Reads;
+  typedef FetchSheetResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2723,7 +2292,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply() const;
-  inline  ::marjorampath::schema::KeyBeginReply::Reader getReply() const;
+  inline  ::marjorampath::schema::SheetReply::Reader getReply() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2737,9 +2306,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyBeginResults::Builder {
+class Node::FetchSheetResults::Builder {
 public:
-  typedef KeyBeginResults Builds;
+  typedef FetchSheetResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2754,11 +2323,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasReply();
-  inline  ::marjorampath::schema::KeyBeginReply::Builder getReply();
-  inline void setReply( ::marjorampath::schema::KeyBeginReply::Reader value);
-  inline  ::marjorampath::schema::KeyBeginReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::KeyBeginReply>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyBeginReply> disownReply();
+  inline  ::marjorampath::schema::SheetReply::Builder getReply();
+  inline void setReply( ::marjorampath::schema::SheetReply::Reader value);
+  inline  ::marjorampath::schema::SheetReply::Builder initReply();
+  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::SheetReply>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::SheetReply> disownReply();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2770,15 +2339,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyBeginResults::Pipeline {
+class Node::FetchSheetResults::Pipeline {
 public:
-  typedef KeyBeginResults Pipelines;
+  typedef FetchSheetResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyBeginReply::Pipeline getReply();
+  inline  ::marjorampath::schema::SheetReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2787,9 +2356,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyCompleteParams::Reader {
+class Acknowledgement::Reader {
 public:
-  typedef KeyCompleteParams Reads;
+  typedef Acknowledgement Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2804,8 +2373,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::marjorampath::schema::KeyComplete::Reader getRequest() const;
+  inline bool getAccepted() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2819,9 +2387,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyCompleteParams::Builder {
+class Acknowledgement::Builder {
 public:
-  typedef KeyCompleteParams Builds;
+  typedef Acknowledgement Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2835,12 +2403,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::marjorampath::schema::KeyComplete::Builder getRequest();
-  inline void setRequest( ::marjorampath::schema::KeyComplete::Reader value);
-  inline  ::marjorampath::schema::KeyComplete::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::KeyComplete>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyComplete> disownRequest();
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2852,15 +2416,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyCompleteParams::Pipeline {
+class Acknowledgement::Pipeline {
 public:
-  typedef KeyCompleteParams Pipelines;
+  typedef Acknowledgement Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyComplete::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2869,9 +2432,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyCompleteResults::Reader {
+class Hello::Reader {
 public:
-  typedef KeyCompleteResults Reads;
+  typedef Hello Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2886,8 +2449,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::marjorampath::schema::KeyCompleteReply::Reader getReply() const;
+  inline  ::uint32_t getVersion() const;
+
+  inline  ::uint64_t getHost() const;
+
+  inline  ::uint64_t getIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2901,9 +2467,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyCompleteResults::Builder {
+class Hello::Builder {
 public:
-  typedef KeyCompleteResults Builds;
+  typedef Hello Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2917,12 +2483,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::marjorampath::schema::KeyCompleteReply::Builder getReply();
-  inline void setReply( ::marjorampath::schema::KeyCompleteReply::Reader value);
-  inline  ::marjorampath::schema::KeyCompleteReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::KeyCompleteReply>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyCompleteReply> disownReply();
+  inline  ::uint32_t getVersion();
+  inline void setVersion( ::uint32_t value);
+
+  inline  ::uint64_t getHost();
+  inline void setHost( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2934,15 +2502,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyCompleteResults::Pipeline {
+class Hello::Pipeline {
 public:
-  typedef KeyCompleteResults Pipelines;
+  typedef Hello Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyCompleteReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2951,9 +2518,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyCopyParams::Reader {
+class HostRecord::Reader {
 public:
-  typedef KeyCopyParams Reads;
+  typedef HostRecord Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2968,8 +2535,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::marjorampath::schema::KeyCopy::Reader getRequest() const;
+  inline  ::uint64_t getHost() const;
+
+  inline  ::uint64_t getZone() const;
+
+  inline  ::uint64_t getRegion() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getCounter() const;
+
+  inline  ::marjorampath::schema::HostState getState() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2983,9 +2559,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyCopyParams::Builder {
+class HostRecord::Builder {
 public:
-  typedef KeyCopyParams Builds;
+  typedef HostRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2999,12 +2575,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::marjorampath::schema::KeyCopy::Builder getRequest();
-  inline void setRequest( ::marjorampath::schema::KeyCopy::Reader value);
-  inline  ::marjorampath::schema::KeyCopy::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::KeyCopy>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyCopy> disownRequest();
+  inline  ::uint64_t getHost();
+  inline void setHost( ::uint64_t value);
+
+  inline  ::uint64_t getZone();
+  inline void setZone( ::uint64_t value);
+
+  inline  ::uint64_t getRegion();
+  inline void setRegion( ::uint64_t value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getCounter();
+  inline void setCounter( ::uint32_t value);
+
+  inline  ::marjorampath::schema::HostState getState();
+  inline void setState( ::marjorampath::schema::HostState value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3016,15 +2603,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyCopyParams::Pipeline {
+class HostRecord::Pipeline {
 public:
-  typedef KeyCopyParams Pipelines;
+  typedef HostRecord Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyCopy::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3033,9 +2619,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyCopyResults::Reader {
+class LeaseHint::Reader {
 public:
-  typedef KeyCopyResults Reads;
+  typedef LeaseHint Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3050,8 +2636,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::marjorampath::schema::KeyCopyReply::Reader getReply() const;
+  inline  ::uint64_t getResource() const;
+
+  inline  ::uint64_t getHolder() const;
+
+  inline  ::uint64_t getFencingNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3065,9 +2654,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyCopyResults::Builder {
+class LeaseHint::Builder {
 public:
-  typedef KeyCopyResults Builds;
+  typedef LeaseHint Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3081,12 +2670,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::marjorampath::schema::KeyCopyReply::Builder getReply();
-  inline void setReply( ::marjorampath::schema::KeyCopyReply::Reader value);
-  inline  ::marjorampath::schema::KeyCopyReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::KeyCopyReply>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyCopyReply> disownReply();
+  inline  ::uint64_t getResource();
+  inline void setResource( ::uint64_t value);
+
+  inline  ::uint64_t getHolder();
+  inline void setHolder( ::uint64_t value);
+
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3098,15 +2689,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyCopyResults::Pipeline {
+class LeaseHint::Pipeline {
 public:
-  typedef KeyCopyResults Pipelines;
+  typedef LeaseHint Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyCopyReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3115,9 +2705,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyRecoverParams::Reader {
+class Conviction::Reader {
 public:
-  typedef KeyRecoverParams Reads;
+  typedef Conviction Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3132,8 +2722,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::marjorampath::schema::KeyRecoveryRequest::Reader getRequest() const;
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint64_t getFirstCrash() const;
+
+  inline  ::uint64_t getSecondCrash() const;
+
+  inline  ::int64_t getCrashedAt() const;
+
+  inline  ::int64_t getRemaining() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3147,9 +2744,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyRecoverParams::Builder {
+class Conviction::Builder {
 public:
-  typedef KeyRecoverParams Builds;
+  typedef Conviction Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3163,12 +2760,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::marjorampath::schema::KeyRecoveryRequest::Builder getRequest();
-  inline void setRequest( ::marjorampath::schema::KeyRecoveryRequest::Reader value);
-  inline  ::marjorampath::schema::KeyRecoveryRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::KeyRecoveryRequest>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyRecoveryRequest> disownRequest();
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint64_t getFirstCrash();
+  inline void setFirstCrash( ::uint64_t value);
+
+  inline  ::uint64_t getSecondCrash();
+  inline void setSecondCrash( ::uint64_t value);
+
+  inline  ::int64_t getCrashedAt();
+  inline void setCrashedAt( ::int64_t value);
+
+  inline  ::int64_t getRemaining();
+  inline void setRemaining( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3180,15 +2785,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyRecoverParams::Pipeline {
+class Conviction::Pipeline {
 public:
-  typedef KeyRecoverParams Pipelines;
+  typedef Conviction Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyRecoveryRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3197,9 +2801,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeyRecoverResults::Reader {
+class ConvictionRelease::Reader {
 public:
-  typedef KeyRecoverResults Reads;
+  typedef ConvictionRelease Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3214,8 +2818,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::marjorampath::schema::KeyRecoveryReply::Reader getReply() const;
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::int64_t getReleasedAt() const;
+
+  inline  ::int64_t getRemaining() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3229,9 +2836,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeyRecoverResults::Builder {
+class ConvictionRelease::Builder {
 public:
-  typedef KeyRecoverResults Builds;
+  typedef ConvictionRelease Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3245,12 +2852,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::marjorampath::schema::KeyRecoveryReply::Builder getReply();
-  inline void setReply( ::marjorampath::schema::KeyRecoveryReply::Reader value);
-  inline  ::marjorampath::schema::KeyRecoveryReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::KeyRecoveryReply>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyRecoveryReply> disownReply();
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::int64_t getReleasedAt();
+  inline void setReleasedAt( ::int64_t value);
+
+  inline  ::int64_t getRemaining();
+  inline void setRemaining( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3262,15 +2871,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeyRecoverResults::Pipeline {
+class ConvictionRelease::Pipeline {
 public:
-  typedef KeyRecoverResults Pipelines;
+  typedef ConvictionRelease Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeyRecoveryReply::Pipeline getReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3279,9 +2887,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchSheetParams::Reader {
+class Gossip::Reader {
 public:
-  typedef FetchSheetParams Reads;
+  typedef Gossip Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3296,8 +2904,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::marjorampath::schema::SheetRequest::Reader getRequest() const;
+  inline bool hasHosts() const;
+  inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
+
+  inline  ::uint64_t getSheetNumber() const;
+
+  inline  ::uint64_t getSheetDigest() const;
+
+  inline bool hasLeases() const;
+  inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
+
+  inline bool hasConvictions() const;
+  inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader getConvictions() const;
+
+  inline bool hasReleases() const;
+  inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader getReleases() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3311,9 +2932,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchSheetParams::Builder {
+class Gossip::Builder {
 public:
-  typedef FetchSheetParams Builds;
+  typedef Gossip Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3327,12 +2948,39 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::marjorampath::schema::SheetRequest::Builder getRequest();
-  inline void setRequest( ::marjorampath::schema::SheetRequest::Reader value);
-  inline  ::marjorampath::schema::SheetRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::SheetRequest>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::SheetRequest> disownRequest();
+  inline bool hasHosts();
+  inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder getHosts();
+  inline void setHosts( ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder initHosts(unsigned int size);
+  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>> disownHosts();
+
+  inline  ::uint64_t getSheetNumber();
+  inline void setSheetNumber( ::uint64_t value);
+
+  inline  ::uint64_t getSheetDigest();
+  inline void setSheetDigest( ::uint64_t value);
+
+  inline bool hasLeases();
+  inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder getLeases();
+  inline void setLeases( ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder initLeases(unsigned int size);
+  inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>> disownLeases();
+
+  inline bool hasConvictions();
+  inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder getConvictions();
+  inline void setConvictions( ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder initConvictions(unsigned int size);
+  inline void adoptConvictions(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>> disownConvictions();
+
+  inline bool hasReleases();
+  inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder getReleases();
+  inline void setReleases( ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder initReleases(unsigned int size);
+  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>> disownReleases();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3344,15 +2992,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::FetchSheetParams::Pipeline {
+class Gossip::Pipeline {
 public:
-  typedef FetchSheetParams Pipelines;
+  typedef Gossip Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::SheetRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3361,9 +3008,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchSheetResults::Reader {
+class Probe::Reader {
 public:
-  typedef FetchSheetResults Reads;
+  typedef Probe Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3378,8 +3025,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::marjorampath::schema::SheetReply::Reader getReply() const;
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasSender() const;
+  inline  ::marjorampath::schema::HostRecord::Reader getSender() const;
+
+  inline  ::uint64_t getTarget() const;
+
+  inline bool hasNews() const;
+  inline  ::marjorampath::schema::Gossip::Reader getNews() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3393,9 +3047,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchSheetResults::Builder {
+class Probe::Builder {
 public:
-  typedef FetchSheetResults Builds;
+  typedef Probe Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3409,32 +3063,46 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::marjorampath::schema::SheetReply::Builder getReply();
-  inline void setReply( ::marjorampath::schema::SheetReply::Reader value);
-  inline  ::marjorampath::schema::SheetReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::SheetReply>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::SheetReply> disownReply();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-#if !CAPNP_LITE
-class Node::FetchSheetResults::Pipeline {
+  inline bool hasSender();
+  inline  ::marjorampath::schema::HostRecord::Builder getSender();
+  inline void setSender( ::marjorampath::schema::HostRecord::Reader value);
+  inline  ::marjorampath::schema::HostRecord::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> disownSender();
+
+  inline  ::uint64_t getTarget();
+  inline void setTarget( ::uint64_t value);
+
+  inline bool hasNews();
+  inline  ::marjorampath::schema::Gossip::Builder getNews();
+  inline void setNews( ::marjorampath::schema::Gossip::Reader value);
+  inline  ::marjorampath::schema::Gossip::Builder initNews();
+  inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Probe::Pipeline {
 public:
-  typedef FetchSheetResults Pipelines;
+  typedef Probe Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::SheetReply::Pipeline getReply();
+  inline  ::marjorampath::schema::HostRecord::Pipeline getSender();
+  inline  ::marjorampath::schema::Gossip::Pipeline getNews();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3443,9 +3111,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeySnapshotParams::Reader {
+class IndirectProbe::Reader {
 public:
-  typedef KeySnapshotParams Reads;
+  typedef IndirectProbe Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3460,8 +3128,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest() const;
-  inline  ::marjorampath::schema::KeySnapshot::Reader getRequest() const;
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasSender() const;
+  inline  ::marjorampath::schema::HostRecord::Reader getSender() const;
+
+  inline  ::uint64_t getSubject() const;
+
+  inline bool hasNews() const;
+  inline  ::marjorampath::schema::Gossip::Reader getNews() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3475,9 +3150,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeySnapshotParams::Builder {
+class IndirectProbe::Builder {
 public:
-  typedef KeySnapshotParams Builds;
+  typedef IndirectProbe Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3491,12 +3166,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequest();
-  inline  ::marjorampath::schema::KeySnapshot::Builder getRequest();
-  inline void setRequest( ::marjorampath::schema::KeySnapshot::Reader value);
-  inline  ::marjorampath::schema::KeySnapshot::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::marjorampath::schema::KeySnapshot>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshot> disownRequest();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasSender();
+  inline  ::marjorampath::schema::HostRecord::Builder getSender();
+  inline void setSender( ::marjorampath::schema::HostRecord::Reader value);
+  inline  ::marjorampath::schema::HostRecord::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> disownSender();
+
+  inline  ::uint64_t getSubject();
+  inline void setSubject( ::uint64_t value);
+
+  inline bool hasNews();
+  inline  ::marjorampath::schema::Gossip::Builder getNews();
+  inline void setNews( ::marjorampath::schema::Gossip::Reader value);
+  inline  ::marjorampath::schema::Gossip::Builder initNews();
+  inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3508,15 +3196,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeySnapshotParams::Pipeline {
+class IndirectProbe::Pipeline {
 public:
-  typedef KeySnapshotParams Pipelines;
+  typedef IndirectProbe Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeySnapshot::Pipeline getRequest();
+  inline  ::marjorampath::schema::HostRecord::Pipeline getSender();
+  inline  ::marjorampath::schema::Gossip::Pipeline getNews();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3525,9 +3214,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::KeySnapshotResults::Reader {
+class ProbeReply::Reader {
 public:
-  typedef KeySnapshotResults Reads;
+  typedef ProbeReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3542,8 +3231,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply() const;
-  inline  ::marjorampath::schema::KeySnapshotReply::Reader getReply() const;
+  inline  ::uint64_t getSequence() const;
+
+  inline bool hasSender() const;
+  inline  ::marjorampath::schema::HostRecord::Reader getSender() const;
+
+  inline  ::uint64_t getSubject() const;
+
+  inline bool hasNews() const;
+  inline  ::marjorampath::schema::Gossip::Reader getNews() const;
+
+  inline  ::uint64_t getAskerIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3557,9 +3255,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::KeySnapshotResults::Builder {
+class ProbeReply::Builder {
 public:
-  typedef KeySnapshotResults Builds;
+  typedef ProbeReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3573,12 +3271,28 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasReply();
-  inline  ::marjorampath::schema::KeySnapshotReply::Builder getReply();
-  inline void setReply( ::marjorampath::schema::KeySnapshotReply::Reader value);
-  inline  ::marjorampath::schema::KeySnapshotReply::Builder initReply();
-  inline void adoptReply(::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply> disownReply();
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool hasSender();
+  inline  ::marjorampath::schema::HostRecord::Builder getSender();
+  inline void setSender( ::marjorampath::schema::HostRecord::Reader value);
+  inline  ::marjorampath::schema::HostRecord::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> disownSender();
+
+  inline  ::uint64_t getSubject();
+  inline void setSubject( ::uint64_t value);
+
+  inline bool hasNews();
+  inline  ::marjorampath::schema::Gossip::Builder getNews();
+  inline void setNews( ::marjorampath::schema::Gossip::Reader value);
+  inline  ::marjorampath::schema::Gossip::Builder initNews();
+  inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
+
+  inline  ::uint64_t getAskerIncarnation();
+  inline void setAskerIncarnation( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3590,15 +3304,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::KeySnapshotResults::Pipeline {
+class ProbeReply::Pipeline {
 public:
-  typedef KeySnapshotResults Pipelines;
+  typedef ProbeReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::KeySnapshotReply::Pipeline getReply();
+  inline  ::marjorampath::schema::HostRecord::Pipeline getSender();
+  inline  ::marjorampath::schema::Gossip::Pipeline getNews();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3607,9 +3322,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Acknowledgement::Reader {
+class LeaseWant::Reader {
 public:
-  typedef Acknowledgement Reads;
+  typedef LeaseWant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3624,7 +3339,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted() const;
+  inline  ::uint64_t getResource() const;
+
+  inline  ::uint64_t getFencingNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3638,9 +3355,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Acknowledgement::Builder {
+class LeaseWant::Builder {
 public:
-  typedef Acknowledgement Builds;
+  typedef LeaseWant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3654,8 +3371,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
+  inline  ::uint64_t getResource();
+  inline void setResource( ::uint64_t value);
+
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3667,9 +3387,9 @@
 };
 
 #if !CAPNP_LITE
-class Acknowledgement::Pipeline {
+class LeaseWant::Pipeline {
 public:
-  typedef Acknowledgement Pipelines;
+  typedef LeaseWant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3683,9 +3403,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Hello::Reader {
+class LeaseRequest::Reader {
 public:
-  typedef Hello Reads;
+  typedef LeaseRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3700,11 +3420,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getVersion() const;
+  inline  ::uint64_t getHolder() const;
 
-  inline  ::uint64_t getHost() const;
+  inline  ::uint64_t getHolderIncarnation() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getRequestNumber() const;
+
+  inline bool hasWants() const;
+  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader getWants() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3718,9 +3441,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Hello::Builder {
+class LeaseRequest::Builder {
 public:
-  typedef Hello Builds;
+  typedef LeaseRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3734,14 +3457,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getVersion();
-  inline void setVersion( ::uint32_t value);
+  inline  ::uint64_t getHolder();
+  inline void setHolder( ::uint64_t value);
 
-  inline  ::uint64_t getHost();
-  inline void setHost( ::uint64_t value);
+  inline  ::uint64_t getHolderIncarnation();
+  inline void setHolderIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getRequestNumber();
+  inline void setRequestNumber( ::uint64_t value);
+
+  inline bool hasWants();
+  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder getWants();
+  inline void setWants( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder initWants(unsigned int size);
+  inline void adoptWants(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> disownWants();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3753,9 +3483,9 @@
 };
 
 #if !CAPNP_LITE
-class Hello::Pipeline {
+class LeaseRequest::Pipeline {
 public:
-  typedef Hello Pipelines;
+  typedef LeaseRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3769,9 +3499,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HostRecord::Reader {
+class LeaseVerdict::Reader {
 public:
-  typedef HostRecord Reads;
+  typedef LeaseVerdict Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3786,17 +3516,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHost() const;
-
-  inline  ::uint64_t getZone() const;
+  inline  ::uint64_t getResource() const;
 
-  inline  ::uint64_t getRegion() const;
+  inline bool getGranted() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getHolder() const;
 
-  inline  ::uint32_t getCounter() const;
+  inline  ::int64_t getRemaining() const;
 
-  inline  ::marjorampath::schema::HostState getState() const;
+  inline  ::uint64_t getHighestFencingNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3810,9 +3538,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HostRecord::Builder {
+class LeaseVerdict::Builder {
 public:
-  typedef HostRecord Builds;
+  typedef LeaseVerdict Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3826,23 +3554,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHost();
-  inline void setHost( ::uint64_t value);
-
-  inline  ::uint64_t getZone();
-  inline void setZone( ::uint64_t value);
+  inline  ::uint64_t getResource();
+  inline void setResource( ::uint64_t value);
 
-  inline  ::uint64_t getRegion();
-  inline void setRegion( ::uint64_t value);
+  inline bool getGranted();
+  inline void setGranted(bool value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline  ::uint64_t getHolder();
+  inline void setHolder( ::uint64_t value);
 
-  inline  ::uint32_t getCounter();
-  inline void setCounter( ::uint32_t value);
+  inline  ::int64_t getRemaining();
+  inline void setRemaining( ::int64_t value);
 
-  inline  ::marjorampath::schema::HostState getState();
-  inline void setState( ::marjorampath::schema::HostState value);
+  inline  ::uint64_t getHighestFencingNumber();
+  inline void setHighestFencingNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3854,9 +3579,9 @@
 };
 
 #if !CAPNP_LITE
-class HostRecord::Pipeline {
+class LeaseVerdict::Pipeline {
 public:
-  typedef HostRecord Pipelines;
+  typedef LeaseVerdict Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3870,9 +3595,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaseHint::Reader {
+class LeaseReply::Reader {
 public:
-  typedef LeaseHint Reads;
+  typedef LeaseReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3887,11 +3612,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getResource() const;
+  inline  ::uint64_t getWitness() const;
 
-  inline  ::uint64_t getHolder() const;
+  inline  ::uint64_t getWitnessIncarnation() const;
 
-  inline  ::uint64_t getFencingNumber() const;
+  inline  ::uint64_t getRequestNumber() const;
+
+  inline bool getActive() const;
+
+  inline  ::int64_t getActiveIn() const;
+
+  inline bool hasVerdicts() const;
+  inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3905,9 +3637,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaseHint::Builder {
+class LeaseReply::Builder {
 public:
-  typedef LeaseHint Builds;
+  typedef LeaseReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3921,14 +3653,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getResource();
-  inline void setResource( ::uint64_t value);
+  inline  ::uint64_t getWitness();
+  inline void setWitness( ::uint64_t value);
 
-  inline  ::uint64_t getHolder();
-  inline void setHolder( ::uint64_t value);
+  inline  ::uint64_t getWitnessIncarnation();
+  inline void setWitnessIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
+  inline  ::uint64_t getRequestNumber();
+  inline void setRequestNumber( ::uint64_t value);
+
+  inline bool getActive();
+  inline void setActive(bool value);
+
+  inline  ::int64_t getActiveIn();
+  inline void setActiveIn( ::int64_t value);
+
+  inline bool hasVerdicts();
+  inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
+  inline void setVerdicts( ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
+  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3940,9 +3685,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaseHint::Pipeline {
+class LeaseReply::Pipeline {
 public:
-  typedef LeaseHint Pipelines;
+  typedef LeaseReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3956,9 +3701,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Conviction::Reader {
+class LeaseRelease::Reader {
 public:
-  typedef Conviction Reads;
+  typedef LeaseRelease Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3973,15 +3718,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint() const;
+  inline  ::uint64_t getHolder() const;
 
-  inline  ::uint64_t getFirstCrash() const;
+  inline  ::uint64_t getHolderIncarnation() const;
 
-  inline  ::uint64_t getSecondCrash() const;
+  inline  ::uint64_t getSuccessor() const;
 
-  inline  ::int64_t getCrashedAt() const;
+  inline bool hasResources() const;
+  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader getResources() const;
 
-  inline  ::int64_t getRemaining() const;
+  inline  ::uint64_t getRequestNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3995,9 +3741,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Conviction::Builder {
+class LeaseRelease::Builder {
 public:
-  typedef Conviction Builds;
+  typedef LeaseRelease Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4011,20 +3757,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
+  inline  ::uint64_t getHolder();
+  inline void setHolder( ::uint64_t value);
 
-  inline  ::uint64_t getFirstCrash();
-  inline void setFirstCrash( ::uint64_t value);
+  inline  ::uint64_t getHolderIncarnation();
+  inline void setHolderIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getSecondCrash();
-  inline void setSecondCrash( ::uint64_t value);
+  inline  ::uint64_t getSuccessor();
+  inline void setSuccessor( ::uint64_t value);
 
-  inline  ::int64_t getCrashedAt();
-  inline void setCrashedAt( ::int64_t value);
+  inline bool hasResources();
+  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder getResources();
+  inline void setResources( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder initResources(unsigned int size);
+  inline void adoptResources(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> disownResources();
 
-  inline  ::int64_t getRemaining();
-  inline void setRemaining( ::int64_t value);
+  inline  ::uint64_t getRequestNumber();
+  inline void setRequestNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4036,9 +3786,9 @@
 };
 
 #if !CAPNP_LITE
-class Conviction::Pipeline {
+class LeaseRelease::Pipeline {
 public:
-  typedef Conviction Pipelines;
+  typedef LeaseRelease Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4052,9 +3802,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConvictionRelease::Reader {
+class GrantRequest::Reader {
 public:
-  typedef ConvictionRelease Reads;
+  typedef GrantRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4069,12 +3819,42 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getCell() const;
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getEntry() const;
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint64_t getTeam() const;
+
+  inline  ::uint32_t getTeamWeight() const;
+
+  inline  ::uint64_t getEndpoints() const;
+
+  inline  ::uint64_t getAdapter() const;
+
   inline  ::uint64_t getFingerprint() const;
 
-  inline  ::int64_t getReleasedAt() const;
+  inline  ::uint64_t getPrefix() const;
+
+  inline  ::int32_t getPriority() const;
+
+  inline bool getIdempotent() const;
 
   inline  ::int64_t getRemaining() const;
 
+  inline  ::uint32_t getPromptTokens() const;
+
+  inline  ::uint32_t getMaxTokens() const;
+
+  inline  ::uint64_t getSheetNumber() const;
+
+  inline bool getIsolated() const;
+
+  inline  ::uint32_t getAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4087,9 +3867,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConvictionRelease::Builder {
+class GrantRequest::Builder {
 public:
-  typedef ConvictionRelease Builds;
+  typedef GrantRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4103,15 +3883,60 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint64_t getCell();
+  inline void setCell( ::uint64_t value);
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getEntry();
+  inline void setEntry( ::uint64_t value);
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint64_t getTeam();
+  inline void setTeam( ::uint64_t value);
+
+  inline  ::uint32_t getTeamWeight();
+  inline void setTeamWeight( ::uint32_t value);
+
+  inline  ::uint64_t getEndpoints();
+  inline void setEndpoints( ::uint64_t value);
+
+  inline  ::uint64_t getAdapter();
+  inline void setAdapter( ::uint64_t value);
+
   inline  ::uint64_t getFingerprint();
   inline void setFingerprint( ::uint64_t value);
 
-  inline  ::int64_t getReleasedAt();
-  inline void setReleasedAt( ::int64_t value);
+  inline  ::uint64_t getPrefix();
+  inline void setPrefix( ::uint64_t value);
+
+  inline  ::int32_t getPriority();
+  inline void setPriority( ::int32_t value);
+
+  inline bool getIdempotent();
+  inline void setIdempotent(bool value);
 
   inline  ::int64_t getRemaining();
   inline void setRemaining( ::int64_t value);
 
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
+
+  inline  ::uint32_t getMaxTokens();
+  inline void setMaxTokens( ::uint32_t value);
+
+  inline  ::uint64_t getSheetNumber();
+  inline void setSheetNumber( ::uint64_t value);
+
+  inline bool getIsolated();
+  inline void setIsolated(bool value);
+
+  inline  ::uint32_t getAttempt();
+  inline void setAttempt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4122,9 +3947,9 @@
 };
 
 #if !CAPNP_LITE
-class ConvictionRelease::Pipeline {
+class GrantRequest::Pipeline {
 public:
-  typedef ConvictionRelease Pipelines;
+  typedef GrantRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4138,9 +3963,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Gossip::Reader {
+class GrantReply::Reader {
 public:
-  typedef Gossip Reads;
+  typedef GrantReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4155,21 +3980,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHosts() const;
-  inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
-
-  inline  ::uint64_t getSheetNumber() const;
+  inline Which which() const;
+  inline  ::uint64_t getRequest() const;
 
-  inline  ::uint64_t getSheetDigest() const;
+  inline  ::uint64_t getFencingNumber() const;
 
-  inline bool hasLeases() const;
-  inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
+  inline bool isEndpoint() const;
+  inline  ::uint64_t getEndpoint() const;
 
-  inline bool hasConvictions() const;
-  inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader getConvictions() const;
+  inline bool isRefusal() const;
+  inline typename Refusal::Reader getRefusal() const;
 
-  inline bool hasReleases() const;
-  inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader getReleases() const;
+  inline bool isNotOwner() const;
+  inline  ::uint64_t getNotOwner() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4183,9 +4006,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Gossip::Builder {
+class GrantReply::Builder {
 public:
-  typedef Gossip Builds;
+  typedef GrantReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4199,39 +4022,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHosts();
-  inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder getHosts();
-  inline void setHosts( ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder initHosts(unsigned int size);
-  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>> disownHosts();
-
-  inline  ::uint64_t getSheetNumber();
-  inline void setSheetNumber( ::uint64_t value);
+  inline Which which();
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
 
-  inline  ::uint64_t getSheetDigest();
-  inline void setSheetDigest( ::uint64_t value);
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
 
-  inline bool hasLeases();
-  inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder getLeases();
-  inline void setLeases( ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder initLeases(unsigned int size);
-  inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>> disownLeases();
+  inline bool isEndpoint();
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
 
-  inline bool hasConvictions();
-  inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder getConvictions();
-  inline void setConvictions( ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder initConvictions(unsigned int size);
-  inline void adoptConvictions(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>> disownConvictions();
+  inline bool isRefusal();
+  inline typename Refusal::Builder getRefusal();
+  inline typename Refusal::Builder initRefusal();
 
-  inline bool hasReleases();
-  inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder getReleases();
-  inline void setReleases( ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder initReleases(unsigned int size);
-  inline void adoptReleases(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>> disownReleases();
+  inline bool isNotOwner();
+  inline  ::uint64_t getNotOwner();
+  inline void setNotOwner( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4243,9 +4051,9 @@
 };
 
 #if !CAPNP_LITE
-class Gossip::Pipeline {
+class GrantReply::Pipeline {
 public:
-  typedef Gossip Pipelines;
+  typedef GrantReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4259,9 +4067,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Probe::Reader {
+class GrantReply::Refusal::Reader {
 public:
-  typedef Probe Reads;
+  typedef Refusal Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4276,15 +4084,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasSender() const;
-  inline  ::marjorampath::schema::HostRecord::Reader getSender() const;
-
-  inline  ::uint64_t getTarget() const;
+  inline bool hasReason() const;
+  inline  ::capnp::Text::Reader getReason() const;
 
-  inline bool hasNews() const;
-  inline  ::marjorampath::schema::Gossip::Reader getNews() const;
+  inline  ::int64_t getRetryAfter() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4298,9 +4101,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Probe::Builder {
+class GrantReply::Refusal::Builder {
 public:
-  typedef Probe Builds;
+  typedef Refusal Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4314,25 +4117,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool hasSender();
-  inline  ::marjorampath::schema::HostRecord::Builder getSender();
-  inline void setSender( ::marjorampath::schema::HostRecord::Reader value);
-  inline  ::marjorampath::schema::HostRecord::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> disownSender();
-
-  inline  ::uint64_t getTarget();
-  inline void setTarget( ::uint64_t value);
+  inline bool hasReason();
+  inline  ::capnp::Text::Builder getReason();
+  inline void setReason( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownReason();
 
-  inline bool hasNews();
-  inline  ::marjorampath::schema::Gossip::Builder getNews();
-  inline void setNews( ::marjorampath::schema::Gossip::Reader value);
-  inline  ::marjorampath::schema::Gossip::Builder initNews();
-  inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
+  inline  ::int64_t getRetryAfter();
+  inline void setRetryAfter( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4344,16 +4137,14 @@
 };
 
 #if !CAPNP_LITE
-class Probe::Pipeline {
+class GrantReply::Refusal::Pipeline {
 public:
-  typedef Probe Pipelines;
+  typedef Refusal Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::HostRecord::Pipeline getSender();
-  inline  ::marjorampath::schema::Gossip::Pipeline getNews();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4362,9 +4153,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class IndirectProbe::Reader {
+class ReleaseReport::Reader {
 public:
-  typedef IndirectProbe Reads;
+  typedef ReleaseReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4379,15 +4170,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence() const;
+  inline  ::uint64_t getCell() const;
 
-  inline bool hasSender() const;
-  inline  ::marjorampath::schema::HostRecord::Reader getSender() const;
+  inline  ::uint64_t getRequest() const;
 
-  inline  ::uint64_t getSubject() const;
+  inline  ::uint64_t getEndpoint() const;
 
-  inline bool hasNews() const;
-  inline  ::marjorampath::schema::Gossip::Reader getNews() const;
+  inline  ::marjorampath::schema::ReleaseReason getReason() const;
+
+  inline  ::uint32_t getTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4401,9 +4192,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class IndirectProbe::Builder {
+class ReleaseReport::Builder {
 public:
-  typedef IndirectProbe Builds;
+  typedef ReleaseReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4417,25 +4208,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+  inline  ::uint64_t getCell();
+  inline void setCell( ::uint64_t value);
 
-  inline bool hasSender();
-  inline  ::marjorampath::schema::HostRecord::Builder getSender();
-  inline void setSender( ::marjorampath::schema::HostRecord::Reader value);
-  inline  ::marjorampath::schema::HostRecord::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> disownSender();
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
 
-  inline  ::uint64_t getSubject();
-  inline void setSubject( ::uint64_t value);
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
 
-  inline bool hasNews();
-  inline  ::marjorampath::schema::Gossip::Builder getNews();
-  inline void setNews( ::marjorampath::schema::Gossip::Reader value);
-  inline  ::marjorampath::schema::Gossip::Builder initNews();
-  inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
+  inline  ::marjorampath::schema::ReleaseReason getReason();
+  inline void setReason( ::marjorampath::schema::ReleaseReason value);
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4447,16 +4233,14 @@
 };
 
 #if !CAPNP_LITE
-class IndirectProbe::Pipeline {
+class ReleaseReport::Pipeline {
 public:
-  typedef IndirectProbe Pipelines;
+  typedef ReleaseReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::HostRecord::Pipeline getSender();
-  inline  ::marjorampath::schema::Gossip::Pipeline getNews();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4465,9 +4249,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ProbeReply::Reader {
+class GrantRecall::Reader {
 public:
-  typedef ProbeReply Reads;
+  typedef GrantRecall Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4482,17 +4266,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence() const;
-
-  inline bool hasSender() const;
-  inline  ::marjorampath::schema::HostRecord::Reader getSender() const;
-
-  inline  ::uint64_t getSubject() const;
+  inline  ::uint64_t getCell() const;
 
-  inline bool hasNews() const;
-  inline  ::marjorampath::schema::Gossip::Reader getNews() const;
+  inline  ::uint64_t getOwner() const;
 
-  inline  ::uint64_t getAskerIncarnation() const;
+  inline  ::uint64_t getFencingNumber() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4506,9 +4284,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ProbeReply::Builder {
+class GrantRecall::Builder {
 public:
-  typedef ProbeReply Builds;
+  typedef GrantRecall Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4522,28 +4300,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool hasSender();
-  inline  ::marjorampath::schema::HostRecord::Builder getSender();
-  inline void setSender( ::marjorampath::schema::HostRecord::Reader value);
-  inline  ::marjorampath::schema::HostRecord::Builder initSender();
-  inline void adoptSender(::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> disownSender();
-
-  inline  ::uint64_t getSubject();
-  inline void setSubject( ::uint64_t value);
+  inline  ::uint64_t getCell();
+  inline void setCell( ::uint64_t value);
 
-  inline bool hasNews();
-  inline  ::marjorampath::schema::Gossip::Builder getNews();
-  inline void setNews( ::marjorampath::schema::Gossip::Reader value);
-  inline  ::marjorampath::schema::Gossip::Builder initNews();
-  inline void adoptNews(::capnp::Orphan< ::marjorampath::schema::Gossip>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::Gossip> disownNews();
+  inline  ::uint64_t getOwner();
+  inline void setOwner( ::uint64_t value);
 
-  inline  ::uint64_t getAskerIncarnation();
-  inline void setAskerIncarnation( ::uint64_t value);
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4555,16 +4319,14 @@
 };
 
 #if !CAPNP_LITE
-class ProbeReply::Pipeline {
+class GrantRecall::Pipeline {
 public:
-  typedef ProbeReply Pipelines;
+  typedef GrantRecall Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::marjorampath::schema::HostRecord::Pipeline getSender();
-  inline  ::marjorampath::schema::Gossip::Pipeline getNews();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4573,9 +4335,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaseWant::Reader {
+class HeldGrant::Reader {
 public:
-  typedef LeaseWant Reads;
+  typedef HeldGrant Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4590,9 +4352,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getResource() const;
+  inline  ::uint64_t getRequest() const;
 
-  inline  ::uint64_t getFencingNumber() const;
+  inline  ::uint64_t getEndpoint() const;
+
+  inline  ::uint64_t getAdapter() const;
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::int64_t getRemaining() const;
+
+  inline  ::uint64_t getKind() const;
+
+  inline  ::uint64_t getTeam() const;
+
+  inline bool getIsolated() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4606,9 +4380,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaseWant::Builder {
+class HeldGrant::Builder {
 public:
-  typedef LeaseWant Builds;
+  typedef HeldGrant Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4622,11 +4396,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getResource();
-  inline void setResource( ::uint64_t value);
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
 
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
+
+  inline  ::uint64_t getAdapter();
+  inline void setAdapter( ::uint64_t value);
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::int64_t getRemaining();
+  inline void setRemaining( ::int64_t value);
+
+  inline  ::uint64_t getKind();
+  inline void setKind( ::uint64_t value);
+
+  inline  ::uint64_t getTeam();
+  inline void setTeam( ::uint64_t value);
+
+  inline bool getIsolated();
+  inline void setIsolated(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4638,9 +4430,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaseWant::Pipeline {
+class HeldGrant::Pipeline {
 public:
-  typedef LeaseWant Pipelines;
+  typedef HeldGrant Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4654,9 +4446,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaseRequest::Reader {
+class GrantList::Reader {
 public:
-  typedef LeaseRequest Reads;
+  typedef GrantList Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4671,14 +4463,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHolder() const;
+  inline  ::uint64_t getEntry() const;
 
-  inline  ::uint64_t getHolderIncarnation() const;
+  inline  ::uint64_t getEntryIncarnation() const;
 
-  inline  ::uint64_t getRequestNumber() const;
+  inline  ::uint64_t getCell() const;
 
-  inline bool hasWants() const;
-  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader getWants() const;
+  inline  ::uint64_t getFencingNumber() const;
+
+  inline bool hasGrants() const;
+  inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4692,9 +4486,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaseRequest::Builder {
+class GrantList::Builder {
 public:
-  typedef LeaseRequest Builds;
+  typedef GrantList Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4708,21 +4502,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHolder();
-  inline void setHolder( ::uint64_t value);
+  inline  ::uint64_t getEntry();
+  inline void setEntry( ::uint64_t value);
 
-  inline  ::uint64_t getHolderIncarnation();
-  inline void setHolderIncarnation( ::uint64_t value);
+  inline  ::uint64_t getEntryIncarnation();
+  inline void setEntryIncarnation( ::uint64_t value);
 
-  inline  ::uint64_t getRequestNumber();
-  inline void setRequestNumber( ::uint64_t value);
+  inline  ::uint64_t getCell();
+  inline void setCell( ::uint64_t value);
 
-  inline bool hasWants();
-  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder getWants();
-  inline void setWants( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder initWants(unsigned int size);
-  inline void adoptWants(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> disownWants();
+  inline  ::uint64_t getFencingNumber();
+  inline void setFencingNumber( ::uint64_t value);
+
+  inline bool hasGrants();
+  inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
+  inline void setGrants( ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
+  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>> disownGrants();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4734,9 +4531,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaseRequest::Pipeline {
+class GrantList::Pipeline {
 public:
-  typedef LeaseRequest Pipelines;
+  typedef GrantList Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4750,9 +4547,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaseVerdict::Reader {
+class SheetRequest::Reader {
 public:
-  typedef LeaseVerdict Reads;
+  typedef SheetRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4767,15 +4564,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getResource() const;
-
-  inline bool getGranted() const;
-
-  inline  ::uint64_t getHolder() const;
-
-  inline  ::int64_t getRemaining() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline  ::uint64_t getHighestFencingNumber() const;
+  inline bool hasPartDigests() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPartDigests() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4789,9 +4581,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaseVerdict::Builder {
+class SheetRequest::Builder {
 public:
-  typedef LeaseVerdict Builds;
+  typedef SheetRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4805,20 +4597,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getResource();
-  inline void setResource( ::uint64_t value);
-
-  inline bool getGranted();
-  inline void setGranted(bool value);
-
-  inline  ::uint64_t getHolder();
-  inline void setHolder( ::uint64_t value);
-
-  inline  ::int64_t getRemaining();
-  inline void setRemaining( ::int64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline  ::uint64_t getHighestFencingNumber();
-  inline void setHighestFencingNumber( ::uint64_t value);
+  inline bool hasPartDigests();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPartDigests();
+  inline void setPartDigests( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPartDigests(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPartDigests(unsigned int size);
+  inline void adoptPartDigests(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPartDigests();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4830,9 +4618,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaseVerdict::Pipeline {
+class SheetRequest::Pipeline {
 public:
-  typedef LeaseVerdict Pipelines;
+  typedef SheetRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4846,9 +4634,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaseReply::Reader {
+class SheetPart::Reader {
 public:
-  typedef LeaseReply Reads;
+  typedef SheetPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4863,18 +4651,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getWitness() const;
-
-  inline  ::uint64_t getWitnessIncarnation() const;
-
-  inline  ::uint64_t getRequestNumber() const;
-
-  inline bool getActive() const;
-
-  inline  ::int64_t getActiveIn() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline bool hasVerdicts() const;
-  inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader getVerdicts() const;
+  inline bool hasText() const;
+  inline  ::capnp::Data::Reader getText() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4888,9 +4669,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaseReply::Builder {
+class SheetPart::Builder {
 public:
-  typedef LeaseReply Builds;
+  typedef SheetPart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4904,27 +4685,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getWitness();
-  inline void setWitness( ::uint64_t value);
-
-  inline  ::uint64_t getWitnessIncarnation();
-  inline void setWitnessIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getRequestNumber();
-  inline void setRequestNumber( ::uint64_t value);
-
-  inline bool getActive();
-  inline void setActive(bool value);
-
-  inline  ::int64_t getActiveIn();
-  inline void setActiveIn( ::int64_t value);
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline bool hasVerdicts();
-  inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder getVerdicts();
-  inline void setVerdicts( ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder initVerdicts(unsigned int size);
-  inline void adoptVerdicts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>> disownVerdicts();
+  inline bool hasText();
+  inline  ::capnp::Data::Builder getText();
+  inline void setText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownText();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4936,9 +4709,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaseReply::Pipeline {
+class SheetPart::Pipeline {
 public:
-  typedef LeaseReply Pipelines;
+  typedef SheetPart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4952,9 +4725,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeaseRelease::Reader {
+class SheetReply::Reader {
 public:
-  typedef LeaseRelease Reads;
+  typedef SheetReply Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4969,16 +4742,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHolder() const;
-
-  inline  ::uint64_t getHolderIncarnation() const;
-
-  inline  ::uint64_t getSuccessor() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline bool hasResources() const;
-  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader getResources() const;
+  inline bool hasManifest() const;
+  inline  ::capnp::Data::Reader getManifest() const;
 
-  inline  ::uint64_t getRequestNumber() const;
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4992,9 +4762,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeaseRelease::Builder {
+class SheetReply::Builder {
 public:
-  typedef LeaseRelease Builds;
+  typedef SheetReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5008,24 +4778,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getHolder();
-  inline void setHolder( ::uint64_t value);
-
-  inline  ::uint64_t getHolderIncarnation();
-  inline void setHolderIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getSuccessor();
-  inline void setSuccessor( ::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline bool hasResources();
-  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder getResources();
-  inline void setResources( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder initResources(unsigned int size);
-  inline void adoptResources(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> disownResources();
+  inline bool hasManifest();
+  inline  ::capnp::Data::Builder getManifest();
+  inline void setManifest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initManifest(unsigned int size);
+  inline void adoptManifest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownManifest();
 
-  inline  ::uint64_t getRequestNumber();
-  inline void setRequestNumber( ::uint64_t value);
+  inline bool hasParts();
+  inline  ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>> disownParts();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5037,9 +4805,9 @@
 };
 
 #if !CAPNP_LITE
-class LeaseRelease::Pipeline {
+class SheetReply::Pipeline {
 public:
-  typedef LeaseRelease Pipelines;
+  typedef SheetReply Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
