@@ -5053,6598 +4821,2618 @@
 };
 #endif  // !CAPNP_LITE
 
-class GrantRequest::Reader {
-public:
-  typedef GrantRequest Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+// =======================================================================================
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+#if !CAPNP_LITE
+inline Node::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Node::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Node::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Node::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Node::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::marjorampath::schema::Node::Client& Node::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::marjorampath::schema::Node::Client& Node::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
 
+#endif  // !CAPNP_LITE
+inline bool Node::HelloParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::HelloParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::Hello::Reader Node::HelloParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::Hello::Builder Node::HelloParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
+inline  ::marjorampath::schema::Hello::Pipeline Node::HelloParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::Hello::Pipeline(_typeless.getPointerField(0));
+}
 #endif  // !CAPNP_LITE
+inline void Node::HelloParams::Builder::setRequest( ::marjorampath::schema::Hello::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::Hello::Builder Node::HelloParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::HelloParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::Hello>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::Hello> Node::HelloParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline  ::uint64_t getCell() const;
-
-  inline  ::uint64_t getRequest() const;
+inline bool Node::HelloResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::HelloResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::Hello::Reader Node::HelloResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::Hello::Builder Node::HelloResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::Hello::Pipeline Node::HelloResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::Hello::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::HelloResults::Builder::setReply( ::marjorampath::schema::Hello::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::Hello::Builder Node::HelloResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::HelloResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::Hello>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::Hello> Node::HelloResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-  inline  ::uint64_t getEntry() const;
-
-  inline  ::uint64_t getService() const;
-
-  inline  ::uint64_t getTeam() const;
-
-  inline  ::uint32_t getTeamWeight() const;
-
-  inline  ::uint64_t getEndpoints() const;
-
-  inline  ::uint64_t getAdapter() const;
-
-  inline  ::uint64_t getFingerprint() const;
-
-  inline  ::uint64_t getPrefix() const;
-
-  inline  ::int32_t getPriority() const;
-
-  inline bool getIdempotent() const;
-
-  inline  ::int64_t getRemaining() const;
-
-  inline  ::uint32_t getPromptTokens() const;
-
-  inline  ::uint32_t getMaxTokens() const;
-
-  inline  ::uint64_t getSheetNumber() const;
-
-  inline bool getIsolated() const;
-
-  inline  ::uint32_t getAttempt() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class GrantRequest::Builder {
-public:
-  typedef GrantRequest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getCell();
-  inline void setCell( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
-
-  inline  ::uint64_t getService();
-  inline void setService( ::uint64_t value);
-
-  inline  ::uint64_t getTeam();
-  inline void setTeam( ::uint64_t value);
-
-  inline  ::uint32_t getTeamWeight();
-  inline void setTeamWeight( ::uint32_t value);
-
-  inline  ::uint64_t getEndpoints();
-  inline void setEndpoints( ::uint64_t value);
-
-  inline  ::uint64_t getAdapter();
-  inline void setAdapter( ::uint64_t value);
-
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
-
-  inline  ::uint64_t getPrefix();
-  inline void setPrefix( ::uint64_t value);
-
-  inline  ::int32_t getPriority();
-  inline void setPriority( ::int32_t value);
-
-  inline bool getIdempotent();
-  inline void setIdempotent(bool value);
-
-  inline  ::int64_t getRemaining();
-  inline void setRemaining( ::int64_t value);
-
-  inline  ::uint32_t getPromptTokens();
-  inline void setPromptTokens( ::uint32_t value);
-
-  inline  ::uint32_t getMaxTokens();
-  inline void setMaxTokens( ::uint32_t value);
-
-  inline  ::uint64_t getSheetNumber();
-  inline void setSheetNumber( ::uint64_t value);
-
-  inline bool getIsolated();
-  inline void setIsolated(bool value);
-
-  inline  ::uint32_t getAttempt();
-  inline void setAttempt( ::uint32_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class GrantRequest::Pipeline {
-public:
-  typedef GrantRequest Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class GrantReply::Reader {
-public:
-  typedef GrantReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline Which which() const;
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline bool isEndpoint() const;
-  inline  ::uint64_t getEndpoint() const;
-
-  inline bool isRefusal() const;
-  inline typename Refusal::Reader getRefusal() const;
-
-  inline bool isNotOwner() const;
-  inline  ::uint64_t getNotOwner() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class GrantReply::Builder {
-public:
-  typedef GrantReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline Which which();
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline bool isEndpoint();
-  inline  ::uint64_t getEndpoint();
-  inline void setEndpoint( ::uint64_t value);
-
-  inline bool isRefusal();
-  inline typename Refusal::Builder getRefusal();
-  inline typename Refusal::Builder initRefusal();
-
-  inline bool isNotOwner();
-  inline  ::uint64_t getNotOwner();
-  inline void setNotOwner( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class GrantReply::Pipeline {
-public:
-  typedef GrantReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class GrantReply::Refusal::Reader {
-public:
-  typedef Refusal Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
-
-  inline  ::int64_t getRetryAfter() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class GrantReply::Refusal::Builder {
-public:
-  typedef Refusal Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
-
-  inline  ::int64_t getRetryAfter();
-  inline void setRetryAfter( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class GrantReply::Refusal::Pipeline {
-public:
-  typedef Refusal Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class ReleaseReport::Reader {
-public:
-  typedef ReleaseReport Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getCell() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getEndpoint() const;
-
-  inline  ::marjorampath::schema::ReleaseReason getReason() const;
-
-  inline  ::uint32_t getTokens() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class ReleaseReport::Builder {
-public:
-  typedef ReleaseReport Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getCell();
-  inline void setCell( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getEndpoint();
-  inline void setEndpoint( ::uint64_t value);
-
-  inline  ::marjorampath::schema::ReleaseReason getReason();
-  inline void setReason( ::marjorampath::schema::ReleaseReason value);
-
-  inline  ::uint32_t getTokens();
-  inline void setTokens( ::uint32_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class ReleaseReport::Pipeline {
-public:
-  typedef ReleaseReport Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class GrantRecall::Reader {
-public:
-  typedef GrantRecall Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getCell() const;
-
-  inline  ::uint64_t getOwner() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class GrantRecall::Builder {
-public:
-  typedef GrantRecall Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getCell();
-  inline void setCell( ::uint64_t value);
-
-  inline  ::uint64_t getOwner();
-  inline void setOwner( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class GrantRecall::Pipeline {
-public:
-  typedef GrantRecall Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class HeldGrant::Reader {
-public:
-  typedef HeldGrant Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getEndpoint() const;
-
-  inline  ::uint64_t getAdapter() const;
-
-  inline  ::uint64_t getFingerprint() const;
-
-  inline  ::int64_t getRemaining() const;
-
-  inline  ::uint64_t getKind() const;
-
-  inline  ::uint64_t getTeam() const;
-
-  inline bool getIsolated() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class HeldGrant::Builder {
-public:
-  typedef HeldGrant Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getEndpoint();
-  inline void setEndpoint( ::uint64_t value);
-
-  inline  ::uint64_t getAdapter();
-  inline void setAdapter( ::uint64_t value);
-
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
-
-  inline  ::int64_t getRemaining();
-  inline void setRemaining( ::int64_t value);
-
-  inline  ::uint64_t getKind();
-  inline void setKind( ::uint64_t value);
-
-  inline  ::uint64_t getTeam();
-  inline void setTeam( ::uint64_t value);
-
-  inline bool getIsolated();
-  inline void setIsolated(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class HeldGrant::Pipeline {
-public:
-  typedef HeldGrant Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class GrantList::Reader {
-public:
-  typedef GrantList Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getEntry() const;
-
-  inline  ::uint64_t getEntryIncarnation() const;
-
-  inline  ::uint64_t getCell() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline bool hasGrants() const;
-  inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader getGrants() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class GrantList::Builder {
-public:
-  typedef GrantList Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
-
-  inline  ::uint64_t getEntryIncarnation();
-  inline void setEntryIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getCell();
-  inline void setCell( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline bool hasGrants();
-  inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder getGrants();
-  inline void setGrants( ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder initGrants(unsigned int size);
-  inline void adoptGrants(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>> disownGrants();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class GrantList::Pipeline {
-public:
-  typedef GrantList Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyTime::Reader {
-public:
-  typedef KeyTime Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool getPresent() const;
-
-  inline  ::int64_t getWallMilliseconds() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyTime::Builder {
-public:
-  typedef KeyTime Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool getPresent();
-  inline void setPresent(bool value);
-
-  inline  ::int64_t getWallMilliseconds();
-  inline void setWallMilliseconds( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyTime::Pipeline {
-public:
-  typedef KeyTime Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyBegin::Reader {
-public:
-  typedef KeyBegin Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getKey() const;
-
-  inline  ::uint64_t getFingerprint() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getEntry() const;
-
-  inline bool hasKeyTime() const;
-  inline  ::marjorampath::schema::KeyTime::Reader getKeyTime() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyBegin::Builder {
-public:
-  typedef KeyBegin Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getKey();
-  inline void setKey( ::uint64_t value);
-
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
-
-  inline bool hasKeyTime();
-  inline  ::marjorampath::schema::KeyTime::Builder getKeyTime();
-  inline void setKeyTime( ::marjorampath::schema::KeyTime::Reader value);
-  inline  ::marjorampath::schema::KeyTime::Builder initKeyTime();
-  inline void adoptKeyTime(::capnp::Orphan< ::marjorampath::schema::KeyTime>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyTime> disownKeyTime();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyBegin::Pipeline {
-public:
-  typedef KeyBegin Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::marjorampath::schema::KeyTime::Pipeline getKeyTime();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyBeginReply::Reader {
-public:
-  typedef KeyBeginReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getKey() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::marjorampath::schema::KeyVerdict getVerdict() const;
-
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
-
-  inline  ::uint64_t getHome() const;
-
-  inline  ::uint64_t getBackup() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline  ::uint32_t getAttempt() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyBeginReply::Builder {
-public:
-  typedef KeyBeginReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getKey();
-  inline void setKey( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::marjorampath::schema::KeyVerdict getVerdict();
-  inline void setVerdict( ::marjorampath::schema::KeyVerdict value);
-
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
-
-  inline  ::uint64_t getHome();
-  inline void setHome( ::uint64_t value);
-
-  inline  ::uint64_t getBackup();
-  inline void setBackup( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline  ::uint32_t getAttempt();
-  inline void setAttempt( ::uint32_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyBeginReply::Pipeline {
-public:
-  typedef KeyBeginReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyComplete::Reader {
-public:
-  typedef KeyComplete Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getKey() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getEntry() const;
-
-  inline  ::marjorampath::schema::KeyState getState() const;
-
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyComplete::Builder {
-public:
-  typedef KeyComplete Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getKey();
-  inline void setKey( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
-
-  inline  ::marjorampath::schema::KeyState getState();
-  inline void setState( ::marjorampath::schema::KeyState value);
-
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyComplete::Pipeline {
-public:
-  typedef KeyComplete Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyCompleteReply::Reader {
-public:
-  typedef KeyCompleteReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getKey() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline bool getAccepted() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyCompleteReply::Builder {
-public:
-  typedef KeyCompleteReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getKey();
-  inline void setKey( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyCompleteReply::Pipeline {
-public:
-  typedef KeyCompleteReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyRecord::Reader {
-public:
-  typedef KeyRecord Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getKey() const;
-
-  inline  ::uint64_t getFingerprint() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getEntry() const;
-
-  inline  ::marjorampath::schema::KeyState getState() const;
-
-  inline bool hasKeyTime() const;
-  inline  ::marjorampath::schema::KeyTime::Reader getKeyTime() const;
-
-  inline bool hasAnswer() const;
-  inline  ::capnp::Data::Reader getAnswer() const;
-
-  inline  ::int64_t getAge() const;
-
-  inline  ::uint32_t getAttempt() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyRecord::Builder {
-public:
-  typedef KeyRecord Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getKey();
-  inline void setKey( ::uint64_t value);
-
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getEntry();
-  inline void setEntry( ::uint64_t value);
-
-  inline  ::marjorampath::schema::KeyState getState();
-  inline void setState( ::marjorampath::schema::KeyState value);
-
-  inline bool hasKeyTime();
-  inline  ::marjorampath::schema::KeyTime::Builder getKeyTime();
-  inline void setKeyTime( ::marjorampath::schema::KeyTime::Reader value);
-  inline  ::marjorampath::schema::KeyTime::Builder initKeyTime();
-  inline void adoptKeyTime(::capnp::Orphan< ::marjorampath::schema::KeyTime>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyTime> disownKeyTime();
-
-  inline bool hasAnswer();
-  inline  ::capnp::Data::Builder getAnswer();
-  inline void setAnswer( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
-
-  inline  ::int64_t getAge();
-  inline void setAge( ::int64_t value);
-
-  inline  ::uint32_t getAttempt();
-  inline void setAttempt( ::uint32_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyRecord::Pipeline {
-public:
-  typedef KeyRecord Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::marjorampath::schema::KeyTime::Pipeline getKeyTime();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyCopy::Reader {
-public:
-  typedef KeyCopy Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getHome() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline bool hasRecord() const;
-  inline  ::marjorampath::schema::KeyRecord::Reader getRecord() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyCopy::Builder {
-public:
-  typedef KeyCopy Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getHome();
-  inline void setHome( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline bool hasRecord();
-  inline  ::marjorampath::schema::KeyRecord::Builder getRecord();
-  inline void setRecord( ::marjorampath::schema::KeyRecord::Reader value);
-  inline  ::marjorampath::schema::KeyRecord::Builder initRecord();
-  inline void adoptRecord(::capnp::Orphan< ::marjorampath::schema::KeyRecord>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyRecord> disownRecord();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyCopy::Pipeline {
-public:
-  typedef KeyCopy Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::marjorampath::schema::KeyRecord::Pipeline getRecord();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyCopyReply::Reader {
-public:
-  typedef KeyCopyReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getKey() const;
-
-  inline  ::uint64_t getRequest() const;
-
-  inline  ::uint64_t getBackup() const;
-
-  inline bool getAccepted() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyCopyReply::Builder {
-public:
-  typedef KeyCopyReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getKey();
-  inline void setKey( ::uint64_t value);
-
-  inline  ::uint64_t getRequest();
-  inline void setRequest( ::uint64_t value);
-
-  inline  ::uint64_t getBackup();
-  inline void setBackup( ::uint64_t value);
-
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyCopyReply::Pipeline {
-public:
-  typedef KeyCopyReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyRecoveryRequest::Reader {
-public:
-  typedef KeyRecoveryRequest Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getHome() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyRecoveryRequest::Builder {
-public:
-  typedef KeyRecoveryRequest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getHome();
-  inline void setHome( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyRecoveryRequest::Pipeline {
-public:
-  typedef KeyRecoveryRequest Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyRecoveryReply::Reader {
-public:
-  typedef KeyRecoveryReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getHost() const;
-
-  inline  ::uint64_t getIncarnation() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline bool getRefused() const;
-
-  inline  ::uint64_t getKnownNumber() const;
-
-  inline  ::uint64_t getSyncedNumber() const;
-
-  inline bool hasGap() const;
-  inline  ::marjorampath::schema::KeyGap::Reader getGap() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyRecoveryReply::Builder {
-public:
-  typedef KeyRecoveryReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getHost();
-  inline void setHost( ::uint64_t value);
-
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline bool getRefused();
-  inline void setRefused(bool value);
-
-  inline  ::uint64_t getKnownNumber();
-  inline void setKnownNumber( ::uint64_t value);
-
-  inline  ::uint64_t getSyncedNumber();
-  inline void setSyncedNumber( ::uint64_t value);
-
-  inline bool hasGap();
-  inline  ::marjorampath::schema::KeyGap::Builder getGap();
-  inline void setGap( ::marjorampath::schema::KeyGap::Reader value);
-  inline  ::marjorampath::schema::KeyGap::Builder initGap();
-  inline void adoptGap(::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> disownGap();
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyRecoveryReply::Pipeline {
-public:
-  typedef KeyRecoveryReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::marjorampath::schema::KeyGap::Pipeline getGap();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeyGap::Reader {
-public:
-  typedef KeyGap Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getRemaining() const;
-
-  inline  ::int64_t getCompleteFrom() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeyGap::Builder {
-public:
-  typedef KeyGap Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getRemaining();
-  inline void setRemaining( ::int64_t value);
-
-  inline  ::int64_t getCompleteFrom();
-  inline void setCompleteFrom( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeyGap::Pipeline {
-public:
-  typedef KeyGap Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeySnapshot::Reader {
-public:
-  typedef KeySnapshot Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getHome() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline  ::uint32_t getPart() const;
-
-  inline bool getLast() const;
-
-  inline bool hasGap() const;
-  inline  ::marjorampath::schema::KeyGap::Reader getGap() const;
-
-  inline bool hasRecords() const;
-  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeySnapshot::Builder {
-public:
-  typedef KeySnapshot Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getHome();
-  inline void setHome( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline  ::uint32_t getPart();
-  inline void setPart( ::uint32_t value);
-
-  inline bool getLast();
-  inline void setLast(bool value);
-
-  inline bool hasGap();
-  inline  ::marjorampath::schema::KeyGap::Builder getGap();
-  inline void setGap( ::marjorampath::schema::KeyGap::Reader value);
-  inline  ::marjorampath::schema::KeyGap::Builder initGap();
-  inline void adoptGap(::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value);
-  inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> disownGap();
-
-  inline bool hasRecords();
-  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder getRecords();
-  inline void setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
-  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> disownRecords();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeySnapshot::Pipeline {
-public:
-  typedef KeySnapshot Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::marjorampath::schema::KeyGap::Pipeline getGap();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class KeySnapshotReply::Reader {
-public:
-  typedef KeySnapshotReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard() const;
-
-  inline  ::uint64_t getBackup() const;
-
-  inline  ::uint64_t getFencingNumber() const;
-
-  inline  ::uint32_t getPart() const;
-
-  inline bool getAccepted() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class KeySnapshotReply::Builder {
-public:
-  typedef KeySnapshotReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getShard();
-  inline void setShard( ::uint64_t value);
-
-  inline  ::uint64_t getBackup();
-  inline void setBackup( ::uint64_t value);
-
-  inline  ::uint64_t getFencingNumber();
-  inline void setFencingNumber( ::uint64_t value);
-
-  inline  ::uint32_t getPart();
-  inline void setPart( ::uint32_t value);
-
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class KeySnapshotReply::Pipeline {
-public:
-  typedef KeySnapshotReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class SheetRequest::Reader {
-public:
-  typedef SheetRequest Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber() const;
-
-  inline bool hasPartDigests() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPartDigests() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SheetRequest::Builder {
-public:
-  typedef SheetRequest Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline bool hasPartDigests();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPartDigests();
-  inline void setPartDigests( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setPartDigests(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPartDigests(unsigned int size);
-  inline void adoptPartDigests(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPartDigests();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class SheetRequest::Pipeline {
-public:
-  typedef SheetRequest Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class SheetPart::Reader {
-public:
-  typedef SheetPart Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
-
-  inline bool hasText() const;
-  inline  ::capnp::Data::Reader getText() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SheetPart::Builder {
-public:
-  typedef SheetPart Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
-
-  inline bool hasText();
-  inline  ::capnp::Data::Builder getText();
-  inline void setText( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownText();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class SheetPart::Pipeline {
-public:
-  typedef SheetPart Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class SheetReply::Reader {
-public:
-  typedef SheetReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber() const;
-
-  inline bool hasManifest() const;
-  inline  ::capnp::Data::Reader getManifest() const;
-
-  inline bool hasParts() const;
-  inline  ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class SheetReply::Builder {
-public:
-  typedef SheetReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
-
-  inline bool hasManifest();
-  inline  ::capnp::Data::Builder getManifest();
-  inline void setManifest( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initManifest(unsigned int size);
-  inline void adoptManifest(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownManifest();
-
-  inline bool hasParts();
-  inline  ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Builder getParts();
-  inline void setParts( ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
-  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::SheetPart,  ::capnp::Kind::STRUCT>> disownParts();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class SheetReply::Pipeline {
-public:
-  typedef SheetReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-// =======================================================================================
-
-#if !CAPNP_LITE
-inline Node::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Node::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Node::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Node::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Node::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::marjorampath::schema::Node::Client& Node::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::marjorampath::schema::Node::Client& Node::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool Node::HelloParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::HelloParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::Hello::Reader Node::HelloParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::Hello::Builder Node::HelloParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::Hello::Pipeline Node::HelloParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::Hello::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::HelloParams::Builder::setRequest( ::marjorampath::schema::Hello::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::Hello::Builder Node::HelloParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::HelloParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::Hello>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::Hello> Node::HelloParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::HelloResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::HelloResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::Hello::Reader Node::HelloResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::Hello::Builder Node::HelloResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::Hello::Pipeline Node::HelloResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::Hello::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::HelloResults::Builder::setReply( ::marjorampath::schema::Hello::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::Hello::Builder Node::HelloResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::HelloResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::Hello>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::Hello> Node::HelloResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Hello>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ProbeParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ProbeParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::Probe::Reader Node::ProbeParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::Probe::Builder Node::ProbeParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::Probe::Pipeline Node::ProbeParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::Probe::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::ProbeParams::Builder::setRequest( ::marjorampath::schema::Probe::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::Probe::Builder Node::ProbeParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ProbeParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::Probe>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::Probe> Node::ProbeParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ProbeResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ProbeResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::ProbeReply::Reader Node::ProbeResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::ProbeReply::Builder Node::ProbeResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::ProbeReply::Pipeline Node::ProbeResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::ProbeReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::ProbeResults::Builder::setReply( ::marjorampath::schema::ProbeReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::ProbeReply::Builder Node::ProbeResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ProbeResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::ProbeReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::ProbeReply> Node::ProbeResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::IndirectProbeParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::IndirectProbeParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::IndirectProbe::Reader Node::IndirectProbeParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::IndirectProbe::Builder Node::IndirectProbeParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::IndirectProbe::Pipeline Node::IndirectProbeParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::IndirectProbe::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::IndirectProbeParams::Builder::setRequest( ::marjorampath::schema::IndirectProbe::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::IndirectProbe::Builder Node::IndirectProbeParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::IndirectProbeParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::IndirectProbe>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::IndirectProbe> Node::IndirectProbeParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::IndirectProbeResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::IndirectProbeResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::ProbeReply::Reader Node::IndirectProbeResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::ProbeReply::Builder Node::IndirectProbeResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::ProbeReply::Pipeline Node::IndirectProbeResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::ProbeReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::IndirectProbeResults::Builder::setReply( ::marjorampath::schema::ProbeReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::ProbeReply::Builder Node::IndirectProbeResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::IndirectProbeResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::ProbeReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::ProbeReply> Node::IndirectProbeResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::LeaseParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::LeaseParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::LeaseRequest::Reader Node::LeaseParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::LeaseRequest::Builder Node::LeaseParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::LeaseRequest::Pipeline Node::LeaseParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::LeaseRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::LeaseParams::Builder::setRequest( ::marjorampath::schema::LeaseRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::LeaseRequest::Builder Node::LeaseParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::LeaseParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::LeaseRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::LeaseRequest> Node::LeaseParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::LeaseResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::LeaseResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::LeaseReply::Reader Node::LeaseResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::LeaseReply::Builder Node::LeaseResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::LeaseReply::Pipeline Node::LeaseResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::LeaseReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::LeaseResults::Builder::setReply( ::marjorampath::schema::LeaseReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::LeaseReply::Builder Node::LeaseResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::LeaseResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::LeaseReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::LeaseReply> Node::LeaseResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ReleaseLeaseParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ReleaseLeaseParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::LeaseRelease::Reader Node::ReleaseLeaseParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::LeaseRelease::Builder Node::ReleaseLeaseParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::LeaseRelease::Pipeline Node::ReleaseLeaseParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::LeaseRelease::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::ReleaseLeaseParams::Builder::setRequest( ::marjorampath::schema::LeaseRelease::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::LeaseRelease::Builder Node::ReleaseLeaseParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ReleaseLeaseParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::LeaseRelease>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::LeaseRelease> Node::ReleaseLeaseParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ReleaseLeaseResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ReleaseLeaseResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::Acknowledgement::Reader Node::ReleaseLeaseResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseLeaseResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::Acknowledgement::Pipeline Node::ReleaseLeaseResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::Acknowledgement::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::ReleaseLeaseResults::Builder::setReply( ::marjorampath::schema::Acknowledgement::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseLeaseResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ReleaseLeaseResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::Acknowledgement>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::Acknowledgement> Node::ReleaseLeaseResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::GrantParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::GrantParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::GrantRequest::Reader Node::GrantParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::GrantRequest::Builder Node::GrantParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::GrantRequest::Pipeline Node::GrantParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::GrantRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::GrantParams::Builder::setRequest( ::marjorampath::schema::GrantRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::GrantRequest::Builder Node::GrantParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::GrantParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::GrantRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::GrantRequest> Node::GrantParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::GrantResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::GrantResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::GrantReply::Reader Node::GrantResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::GrantReply::Builder Node::GrantResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::GrantReply::Pipeline Node::GrantResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::GrantReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::GrantResults::Builder::setReply( ::marjorampath::schema::GrantReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::GrantReply::Builder Node::GrantResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::GrantResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::GrantReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::GrantReply> Node::GrantResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ReleaseGrantParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ReleaseGrantParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::ReleaseReport::Reader Node::ReleaseGrantParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::ReleaseReport::Builder Node::ReleaseGrantParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::ReleaseReport::Pipeline Node::ReleaseGrantParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::ReleaseReport::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::ReleaseGrantParams::Builder::setRequest( ::marjorampath::schema::ReleaseReport::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::ReleaseReport::Builder Node::ReleaseGrantParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ReleaseGrantParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::ReleaseReport>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::ReleaseReport> Node::ReleaseGrantParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ReleaseGrantResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ReleaseGrantResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::Acknowledgement::Reader Node::ReleaseGrantResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseGrantResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::Acknowledgement::Pipeline Node::ReleaseGrantResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::Acknowledgement::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::ReleaseGrantResults::Builder::setReply( ::marjorampath::schema::Acknowledgement::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseGrantResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ReleaseGrantResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::Acknowledgement>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::Acknowledgement> Node::ReleaseGrantResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::RecallGrantsParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::RecallGrantsParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::GrantRecall::Reader Node::RecallGrantsParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::GrantRecall::Builder Node::RecallGrantsParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::GrantRecall::Pipeline Node::RecallGrantsParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::GrantRecall::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::RecallGrantsParams::Builder::setRequest( ::marjorampath::schema::GrantRecall::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::GrantRecall::Builder Node::RecallGrantsParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::RecallGrantsParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::GrantRecall>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::GrantRecall> Node::RecallGrantsParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::RecallGrantsResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::RecallGrantsResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::GrantList::Reader Node::RecallGrantsResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::GrantList::Builder Node::RecallGrantsResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::GrantList::Pipeline Node::RecallGrantsResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::GrantList::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::RecallGrantsResults::Builder::setReply( ::marjorampath::schema::GrantList::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::GrantList::Builder Node::RecallGrantsResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::RecallGrantsResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::GrantList>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::GrantList> Node::RecallGrantsResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyBeginParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyBeginParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyBegin::Reader Node::KeyBeginParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBegin>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyBegin::Builder Node::KeyBeginParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBegin>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyBegin::Pipeline Node::KeyBeginParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::KeyBegin::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyBeginParams::Builder::setRequest( ::marjorampath::schema::KeyBegin::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBegin>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyBegin::Builder Node::KeyBeginParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBegin>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyBeginParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::KeyBegin>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBegin>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyBegin> Node::KeyBeginParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBegin>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyBeginResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyBeginResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyBeginReply::Reader Node::KeyBeginResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBeginReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyBeginReply::Builder Node::KeyBeginResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBeginReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyBeginReply::Pipeline Node::KeyBeginResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::KeyBeginReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyBeginResults::Builder::setReply( ::marjorampath::schema::KeyBeginReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBeginReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyBeginReply::Builder Node::KeyBeginResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBeginReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyBeginResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::KeyBeginReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBeginReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyBeginReply> Node::KeyBeginResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyBeginReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyCompleteParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyCompleteParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyComplete::Reader Node::KeyCompleteParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyComplete>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyComplete::Builder Node::KeyCompleteParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyComplete>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyComplete::Pipeline Node::KeyCompleteParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::KeyComplete::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyCompleteParams::Builder::setRequest( ::marjorampath::schema::KeyComplete::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyComplete>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyComplete::Builder Node::KeyCompleteParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyComplete>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyCompleteParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::KeyComplete>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyComplete>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyComplete> Node::KeyCompleteParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyComplete>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyCompleteResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyCompleteResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyCompleteReply::Reader Node::KeyCompleteResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCompleteReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyCompleteReply::Builder Node::KeyCompleteResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCompleteReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyCompleteReply::Pipeline Node::KeyCompleteResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::KeyCompleteReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyCompleteResults::Builder::setReply( ::marjorampath::schema::KeyCompleteReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCompleteReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyCompleteReply::Builder Node::KeyCompleteResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCompleteReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyCompleteResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::KeyCompleteReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCompleteReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyCompleteReply> Node::KeyCompleteResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCompleteReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyCopyParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyCopyParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyCopy::Reader Node::KeyCopyParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopy>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyCopy::Builder Node::KeyCopyParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopy>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyCopy::Pipeline Node::KeyCopyParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::KeyCopy::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyCopyParams::Builder::setRequest( ::marjorampath::schema::KeyCopy::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopy>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyCopy::Builder Node::KeyCopyParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopy>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyCopyParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::KeyCopy>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopy>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyCopy> Node::KeyCopyParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopy>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyCopyResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyCopyResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyCopyReply::Reader Node::KeyCopyResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopyReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyCopyReply::Builder Node::KeyCopyResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopyReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyCopyReply::Pipeline Node::KeyCopyResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::KeyCopyReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyCopyResults::Builder::setReply( ::marjorampath::schema::KeyCopyReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopyReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyCopyReply::Builder Node::KeyCopyResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopyReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyCopyResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::KeyCopyReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopyReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyCopyReply> Node::KeyCopyResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyCopyReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyRecoverParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyRecoverParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyRecoveryRequest::Reader Node::KeyRecoverParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyRecoveryRequest::Builder Node::KeyRecoverParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyRecoveryRequest::Pipeline Node::KeyRecoverParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::KeyRecoveryRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyRecoverParams::Builder::setRequest( ::marjorampath::schema::KeyRecoveryRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyRecoveryRequest::Builder Node::KeyRecoverParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyRecoverParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::KeyRecoveryRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyRecoveryRequest> Node::KeyRecoverParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeyRecoverResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeyRecoverResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyRecoveryReply::Reader Node::KeyRecoverResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyRecoveryReply::Builder Node::KeyRecoverResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyRecoveryReply::Pipeline Node::KeyRecoverResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::KeyRecoveryReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeyRecoverResults::Builder::setReply( ::marjorampath::schema::KeyRecoveryReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyRecoveryReply::Builder Node::KeyRecoverResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeyRecoverResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::KeyRecoveryReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyRecoveryReply> Node::KeyRecoverResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecoveryReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::FetchSheetParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::FetchSheetParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::SheetRequest::Reader Node::FetchSheetParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::SheetRequest::Builder Node::FetchSheetParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::SheetRequest::Pipeline Node::FetchSheetParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::SheetRequest::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::FetchSheetParams::Builder::setRequest( ::marjorampath::schema::SheetRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::SheetRequest::Builder Node::FetchSheetParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::FetchSheetParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::SheetRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::SheetRequest> Node::FetchSheetParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::FetchSheetResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::FetchSheetResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::SheetReply::Reader Node::FetchSheetResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::SheetReply::Builder Node::FetchSheetResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::SheetReply::Pipeline Node::FetchSheetResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::SheetReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::FetchSheetResults::Builder::setReply( ::marjorampath::schema::SheetReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::SheetReply::Builder Node::FetchSheetResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::FetchSheetResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::SheetReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::SheetReply> Node::FetchSheetResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeySnapshotParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeySnapshotParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeySnapshot::Reader Node::KeySnapshotParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeySnapshot::Builder Node::KeySnapshotParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeySnapshot::Pipeline Node::KeySnapshotParams::Pipeline::getRequest() {
-  return  ::marjorampath::schema::KeySnapshot::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeySnapshotParams::Builder::setRequest( ::marjorampath::schema::KeySnapshot::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeySnapshot::Builder Node::KeySnapshotParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeySnapshotParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::marjorampath::schema::KeySnapshot>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshot> Node::KeySnapshotParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshot>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::KeySnapshotResults::Reader::hasReply() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::KeySnapshotResults::Builder::hasReply() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeySnapshotReply::Reader Node::KeySnapshotResults::Reader::getReply() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeySnapshotReply::Builder Node::KeySnapshotResults::Builder::getReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeySnapshotReply::Pipeline Node::KeySnapshotResults::Pipeline::getReply() {
-  return  ::marjorampath::schema::KeySnapshotReply::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::KeySnapshotResults::Builder::setReply( ::marjorampath::schema::KeySnapshotReply::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeySnapshotReply::Builder Node::KeySnapshotResults::Builder::initReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::KeySnapshotResults::Builder::adoptReply(
-    ::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeySnapshotReply> Node::KeySnapshotResults::Builder::disownReply() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeySnapshotReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Acknowledgement::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool Acknowledgement::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Acknowledgement::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Hello::Reader::getVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Hello::Builder::getVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Hello::Reader::getHost() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Hello::Builder::getHost() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setHost( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Hello::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Hello::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Hello::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t HostRecord::Reader::getHost() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HostRecord::Builder::getHost() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HostRecord::Builder::setHost( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t HostRecord::Reader::getZone() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HostRecord::Builder::getZone() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void HostRecord::Builder::setZone( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t HostRecord::Reader::getRegion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HostRecord::Builder::getRegion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void HostRecord::Builder::setRegion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t HostRecord::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t HostRecord::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void HostRecord::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t HostRecord::Reader::getCounter() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t HostRecord::Builder::getCounter() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void HostRecord::Builder::setCounter( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::marjorampath::schema::HostState HostRecord::Reader::getState() const {
-  return _reader.getDataField< ::marjorampath::schema::HostState>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
-}
-
-inline  ::marjorampath::schema::HostState HostRecord::Builder::getState() {
-  return _builder.getDataField< ::marjorampath::schema::HostState>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
-}
-inline void HostRecord::Builder::setState( ::marjorampath::schema::HostState value) {
-  _builder.setDataField< ::marjorampath::schema::HostState>(
-      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t LeaseHint::Reader::getResource() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LeaseHint::Builder::getResource() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LeaseHint::Builder::setResource( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t LeaseHint::Reader::getHolder() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LeaseHint::Builder::getHolder() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void LeaseHint::Builder::setHolder( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t LeaseHint::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t LeaseHint::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void LeaseHint::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Conviction::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Conviction::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Conviction::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Conviction::Reader::getFirstCrash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Conviction::Builder::getFirstCrash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Conviction::Builder::setFirstCrash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Conviction::Reader::getSecondCrash() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Conviction::Builder::getSecondCrash() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Conviction::Builder::setSecondCrash( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Conviction::Reader::getCrashedAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Conviction::Builder::getCrashedAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Conviction::Builder::setCrashedAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Conviction::Reader::getRemaining() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Conviction::Builder::getRemaining() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Conviction::Builder::setRemaining( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ConvictionRelease::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::ProbeParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ConvictionRelease::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::ProbeParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ConvictionRelease::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::Probe::Reader Node::ProbeParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t ConvictionRelease::Reader::getReleasedAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Probe::Builder Node::ProbeParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t ConvictionRelease::Builder::getReleasedAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::Probe::Pipeline Node::ProbeParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::Probe::Pipeline(_typeless.getPointerField(0));
 }
-inline void ConvictionRelease::Builder::setReleasedAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Node::ProbeParams::Builder::setRequest( ::marjorampath::schema::Probe::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t ConvictionRelease::Reader::getRemaining() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Probe::Builder Node::ProbeParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t ConvictionRelease::Builder::getRemaining() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Node::ProbeParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::Probe>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ConvictionRelease::Builder::setRemaining( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::Probe> Node::ProbeParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Probe>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasHosts() const {
+inline bool Node::ProbeResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasHosts() {
+inline bool Node::ProbeResults::Builder::hasReply() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getHosts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::marjorampath::schema::ProbeReply::Reader Node::ProbeResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::marjorampath::schema::ProbeReply::Builder Node::ProbeResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setHosts( ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::ProbeReply::Pipeline Node::ProbeResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::ProbeReply::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::ProbeResults::Builder::setReply( ::marjorampath::schema::ProbeReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initHosts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::marjorampath::schema::ProbeReply::Builder Node::ProbeResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::adoptHosts(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::ProbeResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::ProbeReply>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownHosts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::marjorampath::schema::ProbeReply> Node::ProbeResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Gossip::Reader::getSheetNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Gossip::Builder::getSheetNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Gossip::Builder::setSheetNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Gossip::Reader::getSheetDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Gossip::Builder::getSheetDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Gossip::Builder::setSheetDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Gossip::Reader::hasLeases() const {
+inline bool Node::IndirectProbeParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasLeases() {
+inline bool Node::IndirectProbeParams::Builder::hasRequest() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLeases() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::IndirectProbe::Reader Node::IndirectProbeParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLeases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::IndirectProbe::Builder Node::IndirectProbeParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setLeases( ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::IndirectProbe::Pipeline Node::IndirectProbeParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::IndirectProbe::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLeases(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Node::IndirectProbeParams::Builder::setRequest( ::marjorampath::schema::IndirectProbe::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Gossip::Builder::adoptLeases(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::marjorampath::schema::IndirectProbe::Builder Node::IndirectProbeParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownLeases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Node::IndirectProbeParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::IndirectProbe>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::IndirectProbe> Node::IndirectProbeParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::IndirectProbe>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasConvictions() const {
+inline bool Node::IndirectProbeResults::Reader::hasReply() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasConvictions() {
+inline bool Node::IndirectProbeResults::Builder::hasReply() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getConvictions() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::ProbeReply::Reader Node::IndirectProbeResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getConvictions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::ProbeReply::Builder Node::IndirectProbeResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::setConvictions( ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::ProbeReply::Pipeline Node::IndirectProbeResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::ProbeReply::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initConvictions(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Node::IndirectProbeResults::Builder::setReply( ::marjorampath::schema::ProbeReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Gossip::Builder::adoptConvictions(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::marjorampath::schema::ProbeReply::Builder Node::IndirectProbeResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::IndirectProbeResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::ProbeReply>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownConvictions() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::marjorampath::schema::ProbeReply> Node::IndirectProbeResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ProbeReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Gossip::Reader::hasReleases() const {
+inline bool Node::LeaseParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Gossip::Builder::hasReleases() {
+inline bool Node::LeaseParams::Builder::hasRequest() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getReleases() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Gossip::Builder::setReleases( ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::marjorampath::schema::LeaseRequest::Reader Node::LeaseParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initReleases(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::marjorampath::schema::LeaseRequest::Builder Node::LeaseParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Gossip::Builder::adoptReleases(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::LeaseRequest::Pipeline Node::LeaseParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::LeaseRequest::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownReleases() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void Node::LeaseParams::Builder::setRequest( ::marjorampath::schema::LeaseRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t Probe::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::LeaseRequest::Builder Node::LeaseParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Probe::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Node::LeaseParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::LeaseRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Probe::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::LeaseRequest> Node::LeaseParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Probe::Reader::hasSender() const {
+inline bool Node::LeaseResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Probe::Builder::hasSender() {
+inline bool Node::LeaseResults::Builder::hasReply() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::HostRecord::Reader Probe::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_reader.getPointerField(
+inline  ::marjorampath::schema::LeaseReply::Reader Node::LeaseResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::HostRecord::Builder Probe::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_builder.getPointerField(
+inline  ::marjorampath::schema::LeaseReply::Builder Node::LeaseResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::marjorampath::schema::HostRecord::Pipeline Probe::Pipeline::getSender() {
-  return  ::marjorampath::schema::HostRecord::Pipeline(_typeless.getPointerField(0));
+inline  ::marjorampath::schema::LeaseReply::Pipeline Node::LeaseResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::LeaseReply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Probe::Builder::setSender( ::marjorampath::schema::HostRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::set(_builder.getPointerField(
+inline void Node::LeaseResults::Builder::setReply( ::marjorampath::schema::LeaseReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::HostRecord::Builder Probe::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::init(_builder.getPointerField(
+inline  ::marjorampath::schema::LeaseReply::Builder Node::LeaseResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Probe::Builder::adoptSender(
-    ::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::adopt(_builder.getPointerField(
+inline void Node::LeaseResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::LeaseReply>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> Probe::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::marjorampath::schema::LeaseReply> Node::LeaseResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Probe::Reader::getTarget() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Probe::Builder::getTarget() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Probe::Builder::setTarget( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Probe::Reader::hasNews() const {
+inline bool Node::ReleaseLeaseParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Probe::Builder::hasNews() {
+inline bool Node::ReleaseLeaseParams::Builder::hasRequest() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::Gossip::Reader Probe::Reader::getNews() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::LeaseRelease::Reader Node::ReleaseLeaseParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::Gossip::Builder Probe::Builder::getNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::LeaseRelease::Builder Node::ReleaseLeaseParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::marjorampath::schema::Gossip::Pipeline Probe::Pipeline::getNews() {
-  return  ::marjorampath::schema::Gossip::Pipeline(_typeless.getPointerField(1));
+inline  ::marjorampath::schema::LeaseRelease::Pipeline Node::ReleaseLeaseParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::LeaseRelease::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Probe::Builder::setNews( ::marjorampath::schema::Gossip::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::Gossip::Builder Probe::Builder::initNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Probe::Builder::adoptNews(
-    ::capnp::Orphan< ::marjorampath::schema::Gossip>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::Gossip> Probe::Builder::disownNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Node::ReleaseLeaseParams::Builder::setRequest( ::marjorampath::schema::LeaseRelease::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t IndirectProbe::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::LeaseRelease::Builder Node::ReleaseLeaseParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t IndirectProbe::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Node::ReleaseLeaseParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::LeaseRelease>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void IndirectProbe::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::LeaseRelease> Node::ReleaseLeaseParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::LeaseRelease>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool IndirectProbe::Reader::hasSender() const {
+inline bool Node::ReleaseLeaseResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool IndirectProbe::Builder::hasSender() {
+inline bool Node::ReleaseLeaseResults::Builder::hasReply() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::HostRecord::Reader IndirectProbe::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_reader.getPointerField(
+inline  ::marjorampath::schema::Acknowledgement::Reader Node::ReleaseLeaseResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::HostRecord::Builder IndirectProbe::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_builder.getPointerField(
+inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseLeaseResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::marjorampath::schema::HostRecord::Pipeline IndirectProbe::Pipeline::getSender() {
-  return  ::marjorampath::schema::HostRecord::Pipeline(_typeless.getPointerField(0));
+inline  ::marjorampath::schema::Acknowledgement::Pipeline Node::ReleaseLeaseResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::Acknowledgement::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void IndirectProbe::Builder::setSender( ::marjorampath::schema::HostRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::set(_builder.getPointerField(
+inline void Node::ReleaseLeaseResults::Builder::setReply( ::marjorampath::schema::Acknowledgement::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::HostRecord::Builder IndirectProbe::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::init(_builder.getPointerField(
+inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseLeaseResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void IndirectProbe::Builder::adoptSender(
-    ::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::adopt(_builder.getPointerField(
+inline void Node::ReleaseLeaseResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::Acknowledgement>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> IndirectProbe::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::marjorampath::schema::Acknowledgement> Node::ReleaseLeaseResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t IndirectProbe::Reader::getSubject() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t IndirectProbe::Builder::getSubject() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void IndirectProbe::Builder::setSubject( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool IndirectProbe::Reader::hasNews() const {
+inline bool Node::GrantParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool IndirectProbe::Builder::hasNews() {
+inline bool Node::GrantParams::Builder::hasRequest() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::Gossip::Reader IndirectProbe::Reader::getNews() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::Gossip::Builder IndirectProbe::Builder::getNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::Gossip::Pipeline IndirectProbe::Pipeline::getNews() {
-  return  ::marjorampath::schema::Gossip::Pipeline(_typeless.getPointerField(1));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-#endif  // !CAPNP_LITE
-inline void IndirectProbe::Builder::setNews( ::marjorampath::schema::Gossip::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline  ::marjorampath::schema::GrantRequest::Reader Node::GrantParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::Gossip::Builder IndirectProbe::Builder::initNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::GrantRequest::Builder Node::GrantParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void IndirectProbe::Builder::adoptNews(
-    ::capnp::Orphan< ::marjorampath::schema::Gossip>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::GrantRequest::Pipeline Node::GrantParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::GrantRequest::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::Gossip> IndirectProbe::Builder::disownNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void Node::GrantParams::Builder::setRequest( ::marjorampath::schema::GrantRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t ProbeReply::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::GrantRequest::Builder Node::GrantParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t ProbeReply::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void Node::GrantParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::GrantRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ProbeReply::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::GrantRequest> Node::GrantParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ProbeReply::Reader::hasSender() const {
+inline bool Node::GrantResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProbeReply::Builder::hasSender() {
+inline bool Node::GrantResults::Builder::hasReply() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::HostRecord::Reader ProbeReply::Reader::getSender() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_reader.getPointerField(
+inline  ::marjorampath::schema::GrantReply::Reader Node::GrantResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::HostRecord::Builder ProbeReply::Builder::getSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_builder.getPointerField(
+inline  ::marjorampath::schema::GrantReply::Builder Node::GrantResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::marjorampath::schema::HostRecord::Pipeline ProbeReply::Pipeline::getSender() {
-  return  ::marjorampath::schema::HostRecord::Pipeline(_typeless.getPointerField(0));
+inline  ::marjorampath::schema::GrantReply::Pipeline Node::GrantResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::GrantReply::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ProbeReply::Builder::setSender( ::marjorampath::schema::HostRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::set(_builder.getPointerField(
+inline void Node::GrantResults::Builder::setReply( ::marjorampath::schema::GrantReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::HostRecord::Builder ProbeReply::Builder::initSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::init(_builder.getPointerField(
+inline  ::marjorampath::schema::GrantReply::Builder Node::GrantResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProbeReply::Builder::adoptSender(
-    ::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::adopt(_builder.getPointerField(
+inline void Node::GrantResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::GrantReply>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> ProbeReply::Builder::disownSender() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::marjorampath::schema::GrantReply> Node::GrantResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantReply>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ProbeReply::Reader::getSubject() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ProbeReply::Builder::getSubject() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void ProbeReply::Builder::setSubject( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ProbeReply::Reader::hasNews() const {
+inline bool Node::ReleaseGrantParams::Reader::hasRequest() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ProbeReply::Builder::hasNews() {
+inline bool Node::ReleaseGrantParams::Builder::hasRequest() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::Gossip::Reader ProbeReply::Reader::getNews() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::ReleaseReport::Reader Node::ReleaseGrantParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::Gossip::Builder ProbeReply::Builder::getNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::ReleaseReport::Builder Node::ReleaseGrantParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::marjorampath::schema::Gossip::Pipeline ProbeReply::Pipeline::getNews() {
-  return  ::marjorampath::schema::Gossip::Pipeline(_typeless.getPointerField(1));
+inline  ::marjorampath::schema::ReleaseReport::Pipeline Node::ReleaseGrantParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::ReleaseReport::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ProbeReply::Builder::setNews( ::marjorampath::schema::Gossip::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Node::ReleaseGrantParams::Builder::setRequest( ::marjorampath::schema::ReleaseReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::Gossip::Builder ProbeReply::Builder::initNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::marjorampath::schema::ReleaseReport::Builder Node::ReleaseGrantParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProbeReply::Builder::adoptNews(
-    ::capnp::Orphan< ::marjorampath::schema::Gossip>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::ReleaseGrantParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::ReleaseReport>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::Gossip> ProbeReply::Builder::disownNews() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::marjorampath::schema::ReleaseReport> Node::ReleaseGrantParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::ReleaseReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ProbeReply::Reader::getAskerIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Node::ReleaseGrantResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ProbeReply::Builder::getAskerIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Node::ReleaseGrantResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void ProbeReply::Builder::setAskerIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::Acknowledgement::Reader Node::ReleaseGrantResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
