-inline  ::uint64_t LeaseWant::Reader::getResource() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseGrantResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseWant::Builder::getResource() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::Acknowledgement::Pipeline Node::ReleaseGrantResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::Acknowledgement::Pipeline(_typeless.getPointerField(0));
 }
-inline void LeaseWant::Builder::setResource( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Node::ReleaseGrantResults::Builder::setReply( ::marjorampath::schema::Acknowledgement::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t LeaseWant::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Acknowledgement::Builder Node::ReleaseGrantResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseWant::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void Node::ReleaseGrantResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::Acknowledgement>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void LeaseWant::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::Acknowledgement> Node::ReleaseGrantResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Acknowledgement>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeaseRequest::Reader::getHolder() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::RecallGrantsParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t LeaseRequest::Builder::getHolder() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::RecallGrantsParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void LeaseRequest::Builder::setHolder( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::GrantRecall::Reader Node::RecallGrantsParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseRequest::Reader::getHolderIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::GrantRecall::Builder Node::RecallGrantsParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseRequest::Builder::getHolderIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::GrantRecall::Pipeline Node::RecallGrantsParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::GrantRecall::Pipeline(_typeless.getPointerField(0));
 }
-inline void LeaseRequest::Builder::setHolderIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Node::RecallGrantsParams::Builder::setRequest( ::marjorampath::schema::GrantRecall::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t LeaseRequest::Reader::getRequestNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::GrantRecall::Builder Node::RecallGrantsParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseRequest::Builder::getRequestNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Node::RecallGrantsParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::GrantRecall>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void LeaseRequest::Builder::setRequestNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::GrantRecall> Node::RecallGrantsParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantRecall>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool LeaseRequest::Reader::hasWants() const {
+inline bool Node::RecallGrantsResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool LeaseRequest::Builder::hasWants() {
+inline bool Node::RecallGrantsResults::Builder::hasReply() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader LeaseRequest::Reader::getWants() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::marjorampath::schema::GrantList::Reader Node::RecallGrantsResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::getWants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::marjorampath::schema::GrantList::Builder Node::RecallGrantsResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LeaseRequest::Builder::setWants( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::GrantList::Pipeline Node::RecallGrantsResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::GrantList::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::RecallGrantsResults::Builder::setReply( ::marjorampath::schema::GrantList::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::initWants(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::marjorampath::schema::GrantList::Builder Node::RecallGrantsResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void LeaseRequest::Builder::adoptWants(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::RecallGrantsResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::GrantList>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> LeaseRequest::Builder::disownWants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::marjorampath::schema::GrantList> Node::RecallGrantsResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::GrantList>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeaseVerdict::Reader::getResource() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::FetchSheetParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t LeaseVerdict::Builder::getResource() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::FetchSheetParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void LeaseVerdict::Builder::setResource( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::SheetRequest::Reader Node::FetchSheetParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool LeaseVerdict::Reader::getGranted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::SheetRequest::Builder Node::FetchSheetParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool LeaseVerdict::Builder::getGranted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::SheetRequest::Pipeline Node::FetchSheetParams::Pipeline::getRequest() {
+  return  ::marjorampath::schema::SheetRequest::Pipeline(_typeless.getPointerField(0));
 }
-inline void LeaseVerdict::Builder::setGranted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Node::FetchSheetParams::Builder::setRequest( ::marjorampath::schema::SheetRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t LeaseVerdict::Reader::getHolder() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::SheetRequest::Builder Node::FetchSheetParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseVerdict::Builder::getHolder() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Node::FetchSheetParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::marjorampath::schema::SheetRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void LeaseVerdict::Builder::setHolder( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::SheetRequest> Node::FetchSheetParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t LeaseVerdict::Reader::getRemaining() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Node::FetchSheetResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::int64_t LeaseVerdict::Builder::getRemaining() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool Node::FetchSheetResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void LeaseVerdict::Builder::setRemaining( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::SheetReply::Reader Node::FetchSheetResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseVerdict::Reader::getHighestFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::SheetReply::Builder Node::FetchSheetResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t LeaseVerdict::Builder::getHighestFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::SheetReply::Pipeline Node::FetchSheetResults::Pipeline::getReply() {
+  return  ::marjorampath::schema::SheetReply::Pipeline(_typeless.getPointerField(0));
 }
-inline void LeaseVerdict::Builder::setHighestFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void Node::FetchSheetResults::Builder::setReply( ::marjorampath::schema::SheetReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::SheetReply::Builder Node::FetchSheetResults::Builder::initReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::FetchSheetResults::Builder::adoptReply(
+    ::capnp::Orphan< ::marjorampath::schema::SheetReply>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::SheetReply> Node::FetchSheetResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::SheetReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t LeaseReply::Reader::getWitness() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool Acknowledgement::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseReply::Builder::getWitness() {
-  return _builder.getDataField< ::uint64_t>(
+inline bool Acknowledgement::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeaseReply::Builder::setWitness( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Acknowledgement::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeaseReply::Reader::getWitnessIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Hello::Reader::getVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseReply::Builder::getWitnessIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Hello::Builder::getVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeaseReply::Builder::setWitnessIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Hello::Builder::setVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeaseReply::Reader::getRequestNumber() const {
+inline  ::uint64_t Hello::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseReply::Builder::getRequestNumber() {
+inline  ::uint64_t Hello::Builder::getHost() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LeaseReply::Builder::setRequestNumber( ::uint64_t value) {
+inline void Hello::Builder::setHost( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool LeaseReply::Reader::getActive() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool LeaseReply::Builder::getActive() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void LeaseReply::Builder::setActive(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t LeaseReply::Reader::getActiveIn() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t LeaseReply::Builder::getActiveIn() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void LeaseReply::Builder::setActiveIn( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LeaseReply::Reader::hasVerdicts() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LeaseReply::Builder::hasVerdicts() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader LeaseReply::Reader::getVerdicts() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::getVerdicts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LeaseReply::Builder::setVerdicts( ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::initVerdicts(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void LeaseReply::Builder::adoptVerdicts(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::uint64_t Hello::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>> LeaseReply::Builder::disownVerdicts() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Hello::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeaseRelease::Reader::getHolder() const {
+inline  ::uint64_t HostRecord::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseRelease::Builder::getHolder() {
+inline  ::uint64_t HostRecord::Builder::getHost() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeaseRelease::Builder::setHolder( ::uint64_t value) {
+inline void HostRecord::Builder::setHost( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeaseRelease::Reader::getHolderIncarnation() const {
+inline  ::uint64_t HostRecord::Reader::getZone() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseRelease::Builder::getHolderIncarnation() {
+inline  ::uint64_t HostRecord::Builder::getZone() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void LeaseRelease::Builder::setHolderIncarnation( ::uint64_t value) {
+inline void HostRecord::Builder::setZone( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeaseRelease::Reader::getSuccessor() const {
+inline  ::uint64_t HostRecord::Reader::getRegion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseRelease::Builder::getSuccessor() {
+inline  ::uint64_t HostRecord::Builder::getRegion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void LeaseRelease::Builder::setSuccessor( ::uint64_t value) {
+inline void HostRecord::Builder::setRegion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool LeaseRelease::Reader::hasResources() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t HostRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline bool LeaseRelease::Builder::hasResources() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t HostRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader LeaseRelease::Reader::getResources() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void HostRecord::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRelease::Builder::getResources() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t HostRecord::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void LeaseRelease::Builder::setResources( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t HostRecord::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRelease::Builder::initResources(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void HostRecord::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-inline void LeaseRelease::Builder::adoptResources(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::marjorampath::schema::HostState HostRecord::Reader::getState() const {
+  return _reader.getDataField< ::marjorampath::schema::HostState>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> LeaseRelease::Builder::disownResources() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::marjorampath::schema::HostState HostRecord::Builder::getState() {
+  return _builder.getDataField< ::marjorampath::schema::HostState>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setState( ::marjorampath::schema::HostState value) {
+  _builder.setDataField< ::marjorampath::schema::HostState>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t LeaseRelease::Reader::getRequestNumber() const {
+inline  ::uint64_t LeaseHint::Reader::getResource() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t LeaseRelease::Builder::getRequestNumber() {
+inline  ::uint64_t LeaseHint::Builder::getResource() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void LeaseRelease::Builder::setRequestNumber( ::uint64_t value) {
+inline void LeaseHint::Builder::setResource( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getCell() const {
+inline  ::uint64_t LeaseHint::Reader::getHolder() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseHint::Builder::getHolder() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void LeaseHint::Builder::setHolder( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseHint::Reader::getFencingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseHint::Builder::getFencingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeaseHint::Builder::setFencingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Conviction::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getCell() {
+inline  ::uint64_t Conviction::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setCell( ::uint64_t value) {
+inline void Conviction::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getRequest() const {
+inline  ::uint64_t Conviction::Reader::getFirstCrash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getRequest() {
+inline  ::uint64_t Conviction::Builder::getFirstCrash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setRequest( ::uint64_t value) {
+inline void Conviction::Builder::setFirstCrash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getEntry() const {
+inline  ::uint64_t Conviction::Reader::getSecondCrash() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getEntry() {
+inline  ::uint64_t Conviction::Builder::getSecondCrash() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setEntry( ::uint64_t value) {
+inline void Conviction::Builder::setSecondCrash( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getService() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t Conviction::Reader::getCrashedAt() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getService() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t Conviction::Builder::getCrashedAt() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setService( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Conviction::Builder::setCrashedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getTeam() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t Conviction::Reader::getRemaining() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getTeam() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t Conviction::Builder::getRemaining() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setTeam( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Conviction::Builder::setRemaining( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t GrantRequest::Reader::getTeamWeight() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConvictionRelease::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t GrantRequest::Builder::getTeamWeight() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline  ::uint64_t ConvictionRelease::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setTeamWeight( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void ConvictionRelease::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getEndpoints() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t ConvictionRelease::Reader::getReleasedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getEndpoints() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::int64_t ConvictionRelease::Builder::getReleasedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setEndpoints( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void ConvictionRelease::Builder::setReleasedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getAdapter() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::int64_t ConvictionRelease::Reader::getRemaining() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getAdapter() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::int64_t ConvictionRelease::Builder::getRemaining() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setAdapter( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void ConvictionRelease::Builder::setRemaining( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Gossip::Reader::hasHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gossip::Builder::hasHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Gossip::Builder::setHosts( ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Gossip::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HostRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GrantRequest::Reader::getFingerprint() const {
+inline  ::uint64_t Gossip::Reader::getSheetNumber() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getFingerprint() {
+inline  ::uint64_t Gossip::Builder::getSheetNumber() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setFingerprint( ::uint64_t value) {
+inline void Gossip::Builder::setSheetNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRequest::Reader::getPrefix() const {
+inline  ::uint64_t Gossip::Reader::getSheetDigest() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRequest::Builder::getPrefix() {
+inline  ::uint64_t Gossip::Builder::getSheetDigest() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantRequest::Builder::setPrefix( ::uint64_t value) {
+inline void Gossip::Builder::setSheetDigest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int32_t GrantRequest::Reader::getPriority() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t GrantRequest::Builder::getPriority() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
-}
-inline void GrantRequest::Builder::setPriority( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+inline bool Gossip::Reader::hasLeases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool GrantRequest::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<640>() * ::capnp::ELEMENTS);
+inline bool Gossip::Builder::hasLeases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool GrantRequest::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<640>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getLeases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void GrantRequest::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<640>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t GrantRequest::Reader::getRemaining() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline void Gossip::Builder::setLeases( ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t GrantRequest::Builder::getRemaining() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initLeases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void GrantRequest::Builder::setRemaining( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+inline void Gossip::Builder::adoptLeases(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t GrantRequest::Reader::getPromptTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseHint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t GrantRequest::Builder::getPromptTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
+inline bool Gossip::Reader::hasConvictions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void GrantRequest::Builder::setPromptTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
+inline bool Gossip::Builder::hasConvictions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t GrantRequest::Reader::getMaxTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getConvictions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t GrantRequest::Builder::getMaxTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getConvictions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void GrantRequest::Builder::setMaxTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+inline void Gossip::Builder::setConvictions( ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t GrantRequest::Reader::getSheetNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initConvictions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint64_t GrantRequest::Builder::getSheetNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+inline void Gossip::Builder::adoptConvictions(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void GrantRequest::Builder::setSheetNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownConvictions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool GrantRequest::Reader::getIsolated() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<641>() * ::capnp::ELEMENTS);
+inline bool Gossip::Reader::hasReleases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool GrantRequest::Builder::getIsolated() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<641>() * ::capnp::ELEMENTS);
+inline bool Gossip::Builder::hasReleases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void GrantRequest::Builder::setIsolated(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<641>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader Gossip::Reader::getReleases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t GrantRequest::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::getReleases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t GrantRequest::Builder::getAttempt() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
+inline void Gossip::Builder::setReleases( ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void GrantRequest::Builder::setAttempt( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>::Builder Gossip::Builder::initReleases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline  ::marjorampath::schema::GrantReply::Which GrantReply::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline void Gossip::Builder::adoptReleases(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline  ::marjorampath::schema::GrantReply::Which GrantReply::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>> Gossip::Builder::disownReleases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::ConvictionRelease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GrantReply::Reader::getRequest() const {
+inline  ::uint64_t Probe::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantReply::Builder::getRequest() {
+inline  ::uint64_t Probe::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantReply::Builder::setRequest( ::uint64_t value) {
+inline void Probe::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantReply::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Probe::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t GrantReply::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Probe::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void GrantReply::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::HostRecord::Reader Probe::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool GrantReply::Reader::isEndpoint() const {
-  return which() == GrantReply::ENDPOINT;
+inline  ::marjorampath::schema::HostRecord::Builder Probe::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline bool GrantReply::Builder::isEndpoint() {
-  return which() == GrantReply::ENDPOINT;
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::HostRecord::Pipeline Probe::Pipeline::getSender() {
+  return  ::marjorampath::schema::HostRecord::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::uint64_t GrantReply::Reader::getEndpoint() const {
-  KJ_IREQUIRE((which() == GrantReply::ENDPOINT),
-              "Must check which() before get()ing a union member.");
+#endif  // !CAPNP_LITE
+inline void Probe::Builder::setSender( ::marjorampath::schema::HostRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::HostRecord::Builder Probe::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Probe::Builder::adoptSender(
+    ::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> Probe::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Probe::Reader::getTarget() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantReply::Builder::getEndpoint() {
-  KJ_IREQUIRE((which() == GrantReply::ENDPOINT),
-              "Must check which() before get()ing a union member.");
+inline  ::uint64_t Probe::Builder::getTarget() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantReply::Builder::setEndpoint( ::uint64_t value) {
-  _builder.setDataField<GrantReply::Which>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, GrantReply::ENDPOINT);
+inline void Probe::Builder::setTarget( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GrantReply::Reader::isRefusal() const {
-  return which() == GrantReply::REFUSAL;
+inline bool Probe::Reader::hasNews() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantReply::Builder::isRefusal() {
-  return which() == GrantReply::REFUSAL;
+inline bool Probe::Builder::hasNews() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline typename GrantReply::Refusal::Reader GrantReply::Reader::getRefusal() const {
-  KJ_IREQUIRE((which() == GrantReply::REFUSAL),
-              "Must check which() before get()ing a union member.");
-  return typename GrantReply::Refusal::Reader(_reader);
+inline  ::marjorampath::schema::Gossip::Reader Probe::Reader::getNews() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline typename GrantReply::Refusal::Builder GrantReply::Builder::getRefusal() {
-  KJ_IREQUIRE((which() == GrantReply::REFUSAL),
-              "Must check which() before get()ing a union member.");
-  return typename GrantReply::Refusal::Builder(_builder);
+inline  ::marjorampath::schema::Gossip::Builder Probe::Builder::getNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline typename GrantReply::Refusal::Builder GrantReply::Builder::initRefusal() {
-  _builder.setDataField<GrantReply::Which>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, GrantReply::REFUSAL);
-  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
-  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
-  return typename GrantReply::Refusal::Builder(_builder);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::Gossip::Pipeline Probe::Pipeline::getNews() {
+  return  ::marjorampath::schema::Gossip::Pipeline(_typeless.getPointerField(1));
 }
-inline bool GrantReply::Reader::isNotOwner() const {
-  return which() == GrantReply::NOT_OWNER;
+#endif  // !CAPNP_LITE
+inline void Probe::Builder::setNews( ::marjorampath::schema::Gossip::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline bool GrantReply::Builder::isNotOwner() {
-  return which() == GrantReply::NOT_OWNER;
+inline  ::marjorampath::schema::Gossip::Builder Probe::Builder::initNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::uint64_t GrantReply::Reader::getNotOwner() const {
-  KJ_IREQUIRE((which() == GrantReply::NOT_OWNER),
-              "Must check which() before get()ing a union member.");
+inline void Probe::Builder::adoptNews(
+    ::capnp::Orphan< ::marjorampath::schema::Gossip>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::Gossip> Probe::Builder::disownNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t IndirectProbe::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantReply::Builder::getNotOwner() {
-  KJ_IREQUIRE((which() == GrantReply::NOT_OWNER),
-              "Must check which() before get()ing a union member.");
+inline  ::uint64_t IndirectProbe::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantReply::Builder::setNotOwner( ::uint64_t value) {
-  _builder.setDataField<GrantReply::Which>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, GrantReply::NOT_OWNER);
+inline void IndirectProbe::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool GrantReply::Refusal::Reader::hasReason() const {
+inline bool IndirectProbe::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantReply::Refusal::Builder::hasReason() {
+inline bool IndirectProbe::Builder::hasSender() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader GrantReply::Refusal::Reader::getReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::marjorampath::schema::HostRecord::Reader IndirectProbe::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder GrantReply::Refusal::Builder::getReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::marjorampath::schema::HostRecord::Builder IndirectProbe::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GrantReply::Refusal::Builder::setReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::HostRecord::Pipeline IndirectProbe::Pipeline::getSender() {
+  return  ::marjorampath::schema::HostRecord::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void IndirectProbe::Builder::setSender( ::marjorampath::schema::HostRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder GrantReply::Refusal::Builder::initReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::marjorampath::schema::HostRecord::Builder IndirectProbe::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GrantReply::Refusal::Builder::adoptReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void IndirectProbe::Builder::adoptSender(
+    ::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> GrantReply::Refusal::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> IndirectProbe::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t GrantReply::Refusal::Reader::getRetryAfter() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t GrantReply::Refusal::Builder::getRetryAfter() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void GrantReply::Refusal::Builder::setRetryAfter( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ReleaseReport::Reader::getCell() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ReleaseReport::Builder::getCell() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ReleaseReport::Builder::setCell( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ReleaseReport::Reader::getRequest() const {
+inline  ::uint64_t IndirectProbe::Reader::getSubject() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ReleaseReport::Builder::getRequest() {
+inline  ::uint64_t IndirectProbe::Builder::getSubject() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ReleaseReport::Builder::setRequest( ::uint64_t value) {
+inline void IndirectProbe::Builder::setSubject( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ReleaseReport::Reader::getEndpoint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool IndirectProbe::Reader::hasNews() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t ReleaseReport::Builder::getEndpoint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool IndirectProbe::Builder::hasNews() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ReleaseReport::Builder::setEndpoint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::Gossip::Reader IndirectProbe::Reader::getNews() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::marjorampath::schema::ReleaseReason ReleaseReport::Reader::getReason() const {
-  return _reader.getDataField< ::marjorampath::schema::ReleaseReason>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Gossip::Builder IndirectProbe::Builder::getNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::marjorampath::schema::ReleaseReason ReleaseReport::Builder::getReason() {
-  return _builder.getDataField< ::marjorampath::schema::ReleaseReason>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::Gossip::Pipeline IndirectProbe::Pipeline::getNews() {
+  return  ::marjorampath::schema::Gossip::Pipeline(_typeless.getPointerField(1));
 }
-inline void ReleaseReport::Builder::setReason( ::marjorampath::schema::ReleaseReason value) {
-  _builder.setDataField< ::marjorampath::schema::ReleaseReason>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void IndirectProbe::Builder::setNews( ::marjorampath::schema::Gossip::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t ReleaseReport::Reader::getTokens() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Gossip::Builder IndirectProbe::Builder::initNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t ReleaseReport::Builder::getTokens() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline void IndirectProbe::Builder::adoptNews(
+    ::capnp::Orphan< ::marjorampath::schema::Gossip>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ReleaseReport::Builder::setTokens( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::Gossip> IndirectProbe::Builder::disownNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t GrantRecall::Reader::getCell() const {
+inline  ::uint64_t ProbeReply::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantRecall::Builder::getCell() {
+inline  ::uint64_t ProbeReply::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantRecall::Builder::setCell( ::uint64_t value) {
+inline void ProbeReply::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantRecall::Reader::getOwner() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool ProbeReply::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t GrantRecall::Builder::getOwner() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool ProbeReply::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void GrantRecall::Builder::setOwner( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::HostRecord::Reader ProbeReply::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t GrantRecall::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::HostRecord::Builder ProbeReply::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t GrantRecall::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::HostRecord::Pipeline ProbeReply::Pipeline::getSender() {
+  return  ::marjorampath::schema::HostRecord::Pipeline(_typeless.getPointerField(0));
 }
-inline void GrantRecall::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void ProbeReply::Builder::setSender( ::marjorampath::schema::HostRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint64_t HeldGrant::Reader::getRequest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::HostRecord::Builder ProbeReply::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HeldGrant::Builder::getRequest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline void ProbeReply::Builder::adoptSender(
+    ::capnp::Orphan< ::marjorampath::schema::HostRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HeldGrant::Builder::setRequest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::HostRecord> ProbeReply::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::HostRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HeldGrant::Reader::getEndpoint() const {
+inline  ::uint64_t ProbeReply::Reader::getSubject() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeldGrant::Builder::getEndpoint() {
+inline  ::uint64_t ProbeReply::Builder::getSubject() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HeldGrant::Builder::setEndpoint( ::uint64_t value) {
+inline void ProbeReply::Builder::setSubject( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HeldGrant::Reader::getAdapter() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ProbeReply::Reader::hasNews() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t HeldGrant::Builder::getAdapter() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ProbeReply::Builder::hasNews() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void HeldGrant::Builder::setAdapter( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::marjorampath::schema::Gossip::Reader ProbeReply::Reader::getNews() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HeldGrant::Reader::getFingerprint() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Gossip::Builder ProbeReply::Builder::getNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t HeldGrant::Builder::getFingerprint() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::Gossip::Pipeline ProbeReply::Pipeline::getNews() {
+  return  ::marjorampath::schema::Gossip::Pipeline(_typeless.getPointerField(1));
 }
-inline void HeldGrant::Builder::setFingerprint( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+#endif  // !CAPNP_LITE
+inline void ProbeReply::Builder::setNews( ::marjorampath::schema::Gossip::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::int64_t HeldGrant::Reader::getRemaining() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::Gossip::Builder ProbeReply::Builder::initNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::int64_t HeldGrant::Builder::getRemaining() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline void ProbeReply::Builder::adoptNews(
+    ::capnp::Orphan< ::marjorampath::schema::Gossip>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void HeldGrant::Builder::setRemaining( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::marjorampath::schema::Gossip> ProbeReply::Builder::disownNews() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::Gossip>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t HeldGrant::Reader::getKind() const {
+inline  ::uint64_t ProbeReply::Reader::getAskerIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeldGrant::Builder::getKind() {
+inline  ::uint64_t ProbeReply::Builder::getAskerIncarnation() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void HeldGrant::Builder::setKind( ::uint64_t value) {
+inline void ProbeReply::Builder::setAskerIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HeldGrant::Reader::getTeam() const {
+inline  ::uint64_t LeaseWant::Reader::getResource() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HeldGrant::Builder::getTeam() {
+inline  ::uint64_t LeaseWant::Builder::getResource() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HeldGrant::Builder::setTeam( ::uint64_t value) {
+inline void LeaseWant::Builder::setResource( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HeldGrant::Reader::getIsolated() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LeaseWant::Reader::getFencingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool HeldGrant::Builder::getIsolated() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
+inline  ::uint64_t LeaseWant::Builder::getFencingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void HeldGrant::Builder::setIsolated(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<448>() * ::capnp::ELEMENTS, value);
+inline void LeaseWant::Builder::setFencingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantList::Reader::getEntry() const {
+inline  ::uint64_t LeaseRequest::Reader::getHolder() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantList::Builder::getEntry() {
+inline  ::uint64_t LeaseRequest::Builder::getHolder() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void GrantList::Builder::setEntry( ::uint64_t value) {
+inline void LeaseRequest::Builder::setHolder( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantList::Reader::getEntryIncarnation() const {
+inline  ::uint64_t LeaseRequest::Reader::getHolderIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantList::Builder::getEntryIncarnation() {
+inline  ::uint64_t LeaseRequest::Builder::getHolderIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantList::Builder::setEntryIncarnation( ::uint64_t value) {
+inline void LeaseRequest::Builder::setHolderIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantList::Reader::getCell() const {
+inline  ::uint64_t LeaseRequest::Reader::getRequestNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t GrantList::Builder::getCell() {
+inline  ::uint64_t LeaseRequest::Builder::getRequestNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void GrantList::Builder::setCell( ::uint64_t value) {
+inline void LeaseRequest::Builder::setRequestNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t GrantList::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t GrantList::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void GrantList::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GrantList::Reader::hasGrants() const {
+inline bool LeaseRequest::Reader::hasWants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantList::Builder::hasGrants() {
+inline bool LeaseRequest::Builder::hasWants() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader GrantList::Reader::getGrants() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader LeaseRequest::Reader::getWants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder GrantList::Builder::getGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::getWants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void GrantList::Builder::setGrants( ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void LeaseRequest::Builder::setWants( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder GrantList::Builder::initGrants(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRequest::Builder::initWants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void GrantList::Builder::adoptGrants(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void LeaseRequest::Builder::adoptWants(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>> GrantList::Builder::disownGrants() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> LeaseRequest::Builder::disownWants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool KeyTime::Reader::getPresent() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t LeaseVerdict::Reader::getResource() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool KeyTime::Builder::getPresent() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t LeaseVerdict::Builder::getResource() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyTime::Builder::setPresent(bool value) {
-  _builder.setDataField<bool>(
+inline void LeaseVerdict::Builder::setResource( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t KeyTime::Reader::getWallMilliseconds() const {
+inline bool LeaseVerdict::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool LeaseVerdict::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void LeaseVerdict::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseVerdict::Reader::getHolder() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseVerdict::Builder::getHolder() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LeaseVerdict::Builder::setHolder( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t LeaseVerdict::Reader::getRemaining() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t KeyTime::Builder::getWallMilliseconds() {
+inline  ::int64_t LeaseVerdict::Builder::getRemaining() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeyTime::Builder::setWallMilliseconds( ::int64_t value) {
+inline void LeaseVerdict::Builder::setRemaining( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseVerdict::Reader::getHighestFencingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseVerdict::Builder::getHighestFencingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LeaseVerdict::Builder::setHighestFencingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBegin::Reader::getShard() const {
+inline  ::uint64_t LeaseReply::Reader::getWitness() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBegin::Builder::getShard() {
+inline  ::uint64_t LeaseReply::Builder::getWitness() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyBegin::Builder::setShard( ::uint64_t value) {
+inline void LeaseReply::Builder::setWitness( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBegin::Reader::getKey() const {
+inline  ::uint64_t LeaseReply::Reader::getWitnessIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBegin::Builder::getKey() {
+inline  ::uint64_t LeaseReply::Builder::getWitnessIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyBegin::Builder::setKey( ::uint64_t value) {
+inline void LeaseReply::Builder::setWitnessIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBegin::Reader::getFingerprint() const {
+inline  ::uint64_t LeaseReply::Reader::getRequestNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBegin::Builder::getFingerprint() {
+inline  ::uint64_t LeaseReply::Builder::getRequestNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyBegin::Builder::setFingerprint( ::uint64_t value) {
+inline void LeaseReply::Builder::setRequestNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBegin::Reader::getRequest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool LeaseReply::Reader::getActive() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBegin::Builder::getRequest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool LeaseReply::Builder::getActive() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
-inline void KeyBegin::Builder::setRequest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void LeaseReply::Builder::setActive(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBegin::Reader::getEntry() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::int64_t LeaseReply::Reader::getActiveIn() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBegin::Builder::getEntry() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::int64_t LeaseReply::Builder::getActiveIn() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void KeyBegin::Builder::setEntry( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void LeaseReply::Builder::setActiveIn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyBegin::Reader::hasKeyTime() const {
+inline bool LeaseReply::Reader::hasVerdicts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyBegin::Builder::hasKeyTime() {
+inline bool LeaseReply::Builder::hasVerdicts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::KeyTime::Reader KeyBegin::Reader::getKeyTime() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::get(_reader.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader LeaseReply::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::KeyTime::Builder KeyBegin::Builder::getKeyTime() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::get(_builder.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyTime::Pipeline KeyBegin::Pipeline::getKeyTime() {
-  return  ::marjorampath::schema::KeyTime::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void KeyBegin::Builder::setKeyTime( ::marjorampath::schema::KeyTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::set(_builder.getPointerField(
+inline void LeaseReply::Builder::setVerdicts( ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::KeyTime::Builder KeyBegin::Builder::initKeyTime() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>::Builder LeaseReply::Builder::initVerdicts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KeyBegin::Builder::adoptKeyTime(
-    ::capnp::Orphan< ::marjorampath::schema::KeyTime>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::adopt(_builder.getPointerField(
+inline void LeaseReply::Builder::adoptVerdicts(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::KeyTime> KeyBegin::Builder::disownKeyTime() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>> LeaseReply::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseVerdict,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t KeyBeginReply::Reader::getShard() const {
+inline  ::uint64_t LeaseRelease::Reader::getHolder() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBeginReply::Builder::getShard() {
+inline  ::uint64_t LeaseRelease::Builder::getHolder() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyBeginReply::Builder::setShard( ::uint64_t value) {
+inline void LeaseRelease::Builder::setHolder( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBeginReply::Reader::getKey() const {
+inline  ::uint64_t LeaseRelease::Reader::getHolderIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBeginReply::Builder::getKey() {
+inline  ::uint64_t LeaseRelease::Builder::getHolderIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyBeginReply::Builder::setKey( ::uint64_t value) {
+inline void LeaseRelease::Builder::setHolderIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyBeginReply::Reader::getRequest() const {
+inline  ::uint64_t LeaseRelease::Reader::getSuccessor() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBeginReply::Builder::getRequest() {
+inline  ::uint64_t LeaseRelease::Builder::getSuccessor() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyBeginReply::Builder::setRequest( ::uint64_t value) {
+inline void LeaseRelease::Builder::setSuccessor( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::marjorampath::schema::KeyVerdict KeyBeginReply::Reader::getVerdict() const {
-  return _reader.getDataField< ::marjorampath::schema::KeyVerdict>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
-}
-
-inline  ::marjorampath::schema::KeyVerdict KeyBeginReply::Builder::getVerdict() {
-  return _builder.getDataField< ::marjorampath::schema::KeyVerdict>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
-}
-inline void KeyBeginReply::Builder::setVerdict( ::marjorampath::schema::KeyVerdict value) {
-  _builder.setDataField< ::marjorampath::schema::KeyVerdict>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeyBeginReply::Reader::hasAnswer() const {
+inline bool LeaseRelease::Reader::hasResources() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyBeginReply::Builder::hasAnswer() {
+inline bool LeaseRelease::Builder::hasResources() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader KeyBeginReply::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader LeaseRelease::Reader::getResources() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder KeyBeginReply::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRelease::Builder::getResources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void KeyBeginReply::Builder::setAnswer( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+inline void LeaseRelease::Builder::setResources( ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder KeyBeginReply::Builder::initAnswer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>::Builder LeaseRelease::Builder::initResources(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KeyBeginReply::Builder::adoptAnswer(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+inline void LeaseRelease::Builder::adoptResources(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> KeyBeginReply::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>> LeaseRelease::Builder::disownResources() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::LeaseWant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t KeyBeginReply::Reader::getHome() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeyBeginReply::Builder::getHome() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void KeyBeginReply::Builder::setHome( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeyBeginReply::Reader::getBackup() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeyBeginReply::Builder::getBackup() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void KeyBeginReply::Builder::setBackup( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeyBeginReply::Reader::getFencingNumber() const {
+inline  ::uint64_t LeaseRelease::Reader::getRequestNumber() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyBeginReply::Builder::getFencingNumber() {
+inline  ::uint64_t LeaseRelease::Builder::getRequestNumber() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeyBeginReply::Builder::setFencingNumber( ::uint64_t value) {
+inline void LeaseRelease::Builder::setRequestNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t KeyBeginReply::Reader::getAttempt() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t KeyBeginReply::Builder::getAttempt() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
-}
-inline void KeyBeginReply::Builder::setAttempt( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyComplete::Reader::getShard() const {
+inline  ::uint64_t GrantRequest::Reader::getCell() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyComplete::Builder::getShard() {
+inline  ::uint64_t GrantRequest::Builder::getCell() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyComplete::Builder::setShard( ::uint64_t value) {
+inline void GrantRequest::Builder::setCell( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyComplete::Reader::getKey() const {
+inline  ::uint64_t GrantRequest::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyComplete::Builder::getKey() {
+inline  ::uint64_t GrantRequest::Builder::getRequest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyComplete::Builder::setKey( ::uint64_t value) {
+inline void GrantRequest::Builder::setRequest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyComplete::Reader::getRequest() const {
+inline  ::uint64_t GrantRequest::Reader::getEntry() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyComplete::Builder::getRequest() {
+inline  ::uint64_t GrantRequest::Builder::getEntry() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyComplete::Builder::setRequest( ::uint64_t value) {
+inline void GrantRequest::Builder::setEntry( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyComplete::Reader::getEntry() const {
+inline  ::uint64_t GrantRequest::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyComplete::Builder::getEntry() {
+inline  ::uint64_t GrantRequest::Builder::getService() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeyComplete::Builder::setEntry( ::uint64_t value) {
+inline void GrantRequest::Builder::setService( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::marjorampath::schema::KeyState KeyComplete::Reader::getState() const {
-  return _reader.getDataField< ::marjorampath::schema::KeyState>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-
-inline  ::marjorampath::schema::KeyState KeyComplete::Builder::getState() {
-  return _builder.getDataField< ::marjorampath::schema::KeyState>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
-}
-inline void KeyComplete::Builder::setState( ::marjorampath::schema::KeyState value) {
-  _builder.setDataField< ::marjorampath::schema::KeyState>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeyComplete::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeyComplete::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader KeyComplete::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder KeyComplete::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void KeyComplete::Builder::setAnswer( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder KeyComplete::Builder::initAnswer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void KeyComplete::Builder::adoptAnswer(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> KeyComplete::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t KeyCompleteReply::Reader::getShard() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeyCompleteReply::Builder::getShard() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KeyCompleteReply::Builder::setShard( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeyCompleteReply::Reader::getKey() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeyCompleteReply::Builder::getKey() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void KeyCompleteReply::Builder::setKey( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeyCompleteReply::Reader::getRequest() const {
+inline  ::uint64_t GrantRequest::Reader::getTeam() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCompleteReply::Builder::getRequest() {
+inline  ::uint64_t GrantRequest::Builder::getTeam() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void KeyCompleteReply::Builder::setRequest( ::uint64_t value) {
+inline void GrantRequest::Builder::setTeam( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyCompleteReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline  ::uint32_t GrantRequest::Reader::getTeamWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline bool KeyCompleteReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+inline  ::uint32_t GrantRequest::Builder::getTeamWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void KeyCompleteReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+inline void GrantRequest::Builder::setTeamWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecord::Reader::getKey() const {
+inline  ::uint64_t GrantRequest::Reader::getEndpoints() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecord::Builder::getKey() {
+inline  ::uint64_t GrantRequest::Builder::getEndpoints() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setKey( ::uint64_t value) {
+inline void GrantRequest::Builder::setEndpoints( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecord::Reader::getFingerprint() const {
+inline  ::uint64_t GrantRequest::Reader::getAdapter() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecord::Builder::getFingerprint() {
+inline  ::uint64_t GrantRequest::Builder::getAdapter() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setFingerprint( ::uint64_t value) {
+inline void GrantRequest::Builder::setAdapter( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecord::Reader::getRequest() const {
+inline  ::uint64_t GrantRequest::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecord::Builder::getRequest() {
+inline  ::uint64_t GrantRequest::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setRequest( ::uint64_t value) {
+inline void GrantRequest::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecord::Reader::getEntry() const {
+inline  ::uint64_t GrantRequest::Reader::getPrefix() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecord::Builder::getEntry() {
+inline  ::uint64_t GrantRequest::Builder::getPrefix() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setEntry( ::uint64_t value) {
+inline void GrantRequest::Builder::setPrefix( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::marjorampath::schema::KeyState KeyRecord::Reader::getState() const {
-  return _reader.getDataField< ::marjorampath::schema::KeyState>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::int32_t GrantRequest::Reader::getPriority() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
-inline  ::marjorampath::schema::KeyState KeyRecord::Builder::getState() {
-  return _builder.getDataField< ::marjorampath::schema::KeyState>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+inline  ::int32_t GrantRequest::Builder::getPriority() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setState( ::marjorampath::schema::KeyState value) {
-  _builder.setDataField< ::marjorampath::schema::KeyState>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+inline void GrantRequest::Builder::setPriority( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyRecord::Reader::hasKeyTime() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeyRecord::Builder::hasKeyTime() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyTime::Reader KeyRecord::Reader::getKeyTime() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline bool GrantRequest::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<640>() * ::capnp::ELEMENTS);
 }
-inline  ::marjorampath::schema::KeyTime::Builder KeyRecord::Builder::getKeyTime() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool GrantRequest::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<640>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyTime::Pipeline KeyRecord::Pipeline::getKeyTime() {
-  return  ::marjorampath::schema::KeyTime::Pipeline(_typeless.getPointerField(0));
+inline void GrantRequest::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<640>() * ::capnp::ELEMENTS, value);
 }
-#endif  // !CAPNP_LITE
-inline void KeyRecord::Builder::setKeyTime( ::marjorampath::schema::KeyTime::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline  ::int64_t GrantRequest::Reader::getRemaining() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline  ::marjorampath::schema::KeyTime::Builder KeyRecord::Builder::initKeyTime() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::int64_t GrantRequest::Builder::getRemaining() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::adoptKeyTime(
-    ::capnp::Orphan< ::marjorampath::schema::KeyTime>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void GrantRequest::Builder::setRemaining( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::marjorampath::schema::KeyTime> KeyRecord::Builder::disownKeyTime() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyTime>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint32_t GrantRequest::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
 }
 
-inline bool KeyRecord::Reader::hasAnswer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t GrantRequest::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS);
 }
-inline bool KeyRecord::Builder::hasAnswer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline void GrantRequest::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<21>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Data::Reader KeyRecord::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t GrantRequest::Reader::getMaxTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Data::Builder KeyRecord::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t GrantRequest::Builder::getMaxTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setAnswer( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void GrantRequest::Builder::setMaxTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Data::Builder KeyRecord::Builder::initAnswer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint64_t GrantRequest::Reader::getSheetNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::adoptAnswer(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t GrantRequest::Builder::getSheetNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Data> KeyRecord::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void GrantRequest::Builder::setSheetNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t KeyRecord::Reader::getAge() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool GrantRequest::Reader::getIsolated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<641>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t KeyRecord::Builder::getAge() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool GrantRequest::Builder::getIsolated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<641>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setAge( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void GrantRequest::Builder::setIsolated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<641>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t KeyRecord::Reader::getAttempt() const {
+inline  ::uint32_t GrantRequest::Reader::getAttempt() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t KeyRecord::Builder::getAttempt() {
+inline  ::uint32_t GrantRequest::Builder::getAttempt() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecord::Builder::setAttempt( ::uint32_t value) {
+inline void GrantRequest::Builder::setAttempt( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<25>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::marjorampath::schema::GrantReply::Which GrantReply::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline  ::marjorampath::schema::GrantReply::Which GrantReply::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopy::Reader::getShard() const {
+inline  ::uint64_t GrantReply::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopy::Builder::getShard() {
+inline  ::uint64_t GrantReply::Builder::getRequest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopy::Builder::setShard( ::uint64_t value) {
+inline void GrantReply::Builder::setRequest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyCopy::Reader::getHome() const {
+inline  ::uint64_t GrantReply::Reader::getFencingNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopy::Builder::getHome() {
+inline  ::uint64_t GrantReply::Builder::getFencingNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopy::Builder::setHome( ::uint64_t value) {
+inline void GrantReply::Builder::setFencingNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyCopy::Reader::getFencingNumber() const {
+inline bool GrantReply::Reader::isEndpoint() const {
+  return which() == GrantReply::ENDPOINT;
+}
+inline bool GrantReply::Builder::isEndpoint() {
+  return which() == GrantReply::ENDPOINT;
+}
+inline  ::uint64_t GrantReply::Reader::getEndpoint() const {
+  KJ_IREQUIRE((which() == GrantReply::ENDPOINT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t GrantReply::Builder::getEndpoint() {
+  KJ_IREQUIRE((which() == GrantReply::ENDPOINT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GrantReply::Builder::setEndpoint( ::uint64_t value) {
+  _builder.setDataField<GrantReply::Which>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, GrantReply::ENDPOINT);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantReply::Reader::isRefusal() const {
+  return which() == GrantReply::REFUSAL;
+}
+inline bool GrantReply::Builder::isRefusal() {
+  return which() == GrantReply::REFUSAL;
+}
+inline typename GrantReply::Refusal::Reader GrantReply::Reader::getRefusal() const {
+  KJ_IREQUIRE((which() == GrantReply::REFUSAL),
+              "Must check which() before get()ing a union member.");
+  return typename GrantReply::Refusal::Reader(_reader);
+}
+inline typename GrantReply::Refusal::Builder GrantReply::Builder::getRefusal() {
+  KJ_IREQUIRE((which() == GrantReply::REFUSAL),
+              "Must check which() before get()ing a union member.");
+  return typename GrantReply::Refusal::Builder(_builder);
+}
+inline typename GrantReply::Refusal::Builder GrantReply::Builder::initRefusal() {
+  _builder.setDataField<GrantReply::Which>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, GrantReply::REFUSAL);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename GrantReply::Refusal::Builder(_builder);
+}
+inline bool GrantReply::Reader::isNotOwner() const {
+  return which() == GrantReply::NOT_OWNER;
+}
+inline bool GrantReply::Builder::isNotOwner() {
+  return which() == GrantReply::NOT_OWNER;
+}
+inline  ::uint64_t GrantReply::Reader::getNotOwner() const {
+  KJ_IREQUIRE((which() == GrantReply::NOT_OWNER),
+              "Must check which() before get()ing a union member.");
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopy::Builder::getFencingNumber() {
+inline  ::uint64_t GrantReply::Builder::getNotOwner() {
+  KJ_IREQUIRE((which() == GrantReply::NOT_OWNER),
+              "Must check which() before get()ing a union member.");
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopy::Builder::setFencingNumber( ::uint64_t value) {
+inline void GrantReply::Builder::setNotOwner( ::uint64_t value) {
+  _builder.setDataField<GrantReply::Which>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, GrantReply::NOT_OWNER);
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyCopy::Reader::hasRecord() const {
+inline bool GrantReply::Refusal::Reader::hasReason() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeyCopy::Builder::hasRecord() {
+inline bool GrantReply::Refusal::Builder::hasReason() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::KeyRecord::Reader KeyCopy::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecord>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader GrantReply::Refusal::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::KeyRecord::Builder KeyCopy::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecord>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder GrantReply::Refusal::Builder::getReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyRecord::Pipeline KeyCopy::Pipeline::getRecord() {
-  return  ::marjorampath::schema::KeyRecord::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void KeyCopy::Builder::setRecord( ::marjorampath::schema::KeyRecord::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecord>::set(_builder.getPointerField(
+inline void GrantReply::Refusal::Builder::setReason( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::KeyRecord::Builder KeyCopy::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecord>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder GrantReply::Refusal::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KeyCopy::Builder::adoptRecord(
-    ::capnp::Orphan< ::marjorampath::schema::KeyRecord>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecord>::adopt(_builder.getPointerField(
+inline void GrantReply::Refusal::Builder::adoptReason(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::KeyRecord> KeyCopy::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyRecord>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> GrantReply::Refusal::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t KeyCopyReply::Reader::getShard() const {
+inline  ::int64_t GrantReply::Refusal::Reader::getRetryAfter() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t GrantReply::Refusal::Builder::getRetryAfter() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void GrantReply::Refusal::Builder::setRetryAfter( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ReleaseReport::Reader::getCell() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopyReply::Builder::getShard() {
+inline  ::uint64_t ReleaseReport::Builder::getCell() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopyReply::Builder::setShard( ::uint64_t value) {
+inline void ReleaseReport::Builder::setCell( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyCopyReply::Reader::getKey() const {
+inline  ::uint64_t ReleaseReport::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopyReply::Builder::getKey() {
+inline  ::uint64_t ReleaseReport::Builder::getRequest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopyReply::Builder::setKey( ::uint64_t value) {
+inline void ReleaseReport::Builder::setRequest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyCopyReply::Reader::getRequest() const {
+inline  ::uint64_t ReleaseReport::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopyReply::Builder::getRequest() {
+inline  ::uint64_t ReleaseReport::Builder::getEndpoint() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopyReply::Builder::setRequest( ::uint64_t value) {
+inline void ReleaseReport::Builder::setEndpoint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyCopyReply::Reader::getBackup() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeyCopyReply::Builder::getBackup() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void KeyCopyReply::Builder::setBackup( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeyCopyReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::ReleaseReason ReleaseReport::Reader::getReason() const {
+  return _reader.getDataField< ::marjorampath::schema::ReleaseReason>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline bool KeyCopyReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline  ::marjorampath::schema::ReleaseReason ReleaseReport::Builder::getReason() {
+  return _builder.getDataField< ::marjorampath::schema::ReleaseReason>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopyReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+inline void ReleaseReport::Builder::setReason( ::marjorampath::schema::ReleaseReason value) {
+  _builder.setDataField< ::marjorampath::schema::ReleaseReason>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyCopyReply::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ReleaseReport::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyCopyReply::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint32_t ReleaseReport::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void KeyCopyReply::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void ReleaseReport::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryRequest::Reader::getShard() const {
+inline  ::uint64_t GrantRecall::Reader::getCell() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryRequest::Builder::getShard() {
+inline  ::uint64_t GrantRecall::Builder::getCell() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryRequest::Builder::setShard( ::uint64_t value) {
+inline void GrantRecall::Builder::setCell( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryRequest::Reader::getHome() const {
+inline  ::uint64_t GrantRecall::Reader::getOwner() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryRequest::Builder::getHome() {
+inline  ::uint64_t GrantRecall::Builder::getOwner() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryRequest::Builder::setHome( ::uint64_t value) {
+inline void GrantRecall::Builder::setOwner( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryRequest::Reader::getFencingNumber() const {
+inline  ::uint64_t GrantRecall::Reader::getFencingNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryRequest::Builder::getFencingNumber() {
+inline  ::uint64_t GrantRecall::Builder::getFencingNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryRequest::Builder::setFencingNumber( ::uint64_t value) {
+inline void GrantRecall::Builder::setFencingNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Reader::getShard() const {
+inline  ::uint64_t HeldGrant::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Builder::getShard() {
+inline  ::uint64_t HeldGrant::Builder::getRequest() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setShard( ::uint64_t value) {
+inline void HeldGrant::Builder::setRequest( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Reader::getHost() const {
+inline  ::uint64_t HeldGrant::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Builder::getHost() {
+inline  ::uint64_t HeldGrant::Builder::getEndpoint() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setHost( ::uint64_t value) {
+inline void HeldGrant::Builder::setEndpoint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Reader::getIncarnation() const {
+inline  ::uint64_t HeldGrant::Reader::getAdapter() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Builder::getIncarnation() {
+inline  ::uint64_t HeldGrant::Builder::getAdapter() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setIncarnation( ::uint64_t value) {
+inline void HeldGrant::Builder::setAdapter( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Reader::getFencingNumber() const {
+inline  ::uint64_t HeldGrant::Reader::getFingerprint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Builder::getFencingNumber() {
+inline  ::uint64_t HeldGrant::Builder::getFingerprint() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setFencingNumber( ::uint64_t value) {
+inline void HeldGrant::Builder::setFingerprint( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyRecoveryReply::Reader::getRefused() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline  ::int64_t HeldGrant::Reader::getRemaining() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline bool KeyRecoveryReply::Builder::getRefused() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
+inline  ::int64_t HeldGrant::Builder::getRemaining() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setRefused(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
+inline void HeldGrant::Builder::setRemaining( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Reader::getKnownNumber() const {
+inline  ::uint64_t HeldGrant::Reader::getKind() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Builder::getKnownNumber() {
+inline  ::uint64_t HeldGrant::Builder::getKind() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setKnownNumber( ::uint64_t value) {
+inline void HeldGrant::Builder::setKind( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Reader::getSyncedNumber() const {
+inline  ::uint64_t HeldGrant::Reader::getTeam() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeyRecoveryReply::Builder::getSyncedNumber() {
+inline  ::uint64_t HeldGrant::Builder::getTeam() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void KeyRecoveryReply::Builder::setSyncedNumber( ::uint64_t value) {
+inline void HeldGrant::Builder::setTeam( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeyRecoveryReply::Reader::hasGap() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeyRecoveryReply::Builder::hasGap() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::marjorampath::schema::KeyGap::Reader KeyRecoveryReply::Reader::getGap() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::marjorampath::schema::KeyGap::Builder KeyRecoveryReply::Builder::getGap() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyGap::Pipeline KeyRecoveryReply::Pipeline::getGap() {
-  return  ::marjorampath::schema::KeyGap::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void KeyRecoveryReply::Builder::setGap( ::marjorampath::schema::KeyGap::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::marjorampath::schema::KeyGap::Builder KeyRecoveryReply::Builder::initGap() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void KeyRecoveryReply::Builder::adoptGap(
-    ::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> KeyRecoveryReply::Builder::disownGap() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool KeyRecoveryReply::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeyRecoveryReply::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader KeyRecoveryReply::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeyRecoveryReply::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void KeyRecoveryReply::Builder::setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeyRecoveryReply::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void KeyRecoveryReply::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> KeyRecoveryReply::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t KeyGap::Reader::getRemaining() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t KeyGap::Builder::getRemaining() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KeyGap::Builder::setRemaining( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t KeyGap::Reader::getCompleteFrom() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool HeldGrant::Reader::getIsolated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t KeyGap::Builder::getCompleteFrom() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool HeldGrant::Builder::getIsolated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS);
 }
-inline void KeyGap::Builder::setCompleteFrom( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void HeldGrant::Builder::setIsolated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<448>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeySnapshot::Reader::getShard() const {
+inline  ::uint64_t GrantList::Reader::getEntry() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeySnapshot::Builder::getShard() {
+inline  ::uint64_t GrantList::Builder::getEntry() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void KeySnapshot::Builder::setShard( ::uint64_t value) {
+inline void GrantList::Builder::setEntry( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeySnapshot::Reader::getHome() const {
+inline  ::uint64_t GrantList::Reader::getEntryIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeySnapshot::Builder::getHome() {
+inline  ::uint64_t GrantList::Builder::getEntryIncarnation() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeySnapshot::Builder::setHome( ::uint64_t value) {
+inline void GrantList::Builder::setEntryIncarnation( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t KeySnapshot::Reader::getFencingNumber() const {
+inline  ::uint64_t GrantList::Reader::getCell() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t KeySnapshot::Builder::getFencingNumber() {
+inline  ::uint64_t GrantList::Builder::getCell() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeySnapshot::Builder::setFencingNumber( ::uint64_t value) {
+inline void GrantList::Builder::setCell( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t KeySnapshot::Reader::getPart() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t KeySnapshot::Builder::getPart() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void KeySnapshot::Builder::setPart( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeySnapshot::Reader::getLast() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantList::Reader::getFencingNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool KeySnapshot::Builder::getLast() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+inline  ::uint64_t GrantList::Builder::getFencingNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeySnapshot::Builder::setLast(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+inline void GrantList::Builder::setFencingNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeySnapshot::Reader::hasGap() const {
+inline bool GrantList::Reader::hasGrants() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeySnapshot::Builder::hasGap() {
+inline bool GrantList::Builder::hasGrants() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::marjorampath::schema::KeyGap::Reader KeySnapshot::Reader::getGap() const {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_reader.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader GrantList::Reader::getGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::marjorampath::schema::KeyGap::Builder KeySnapshot::Builder::getGap() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::get(_builder.getPointerField(
+inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder GrantList::Builder::getGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::marjorampath::schema::KeyGap::Pipeline KeySnapshot::Pipeline::getGap() {
-  return  ::marjorampath::schema::KeyGap::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void KeySnapshot::Builder::setGap( ::marjorampath::schema::KeyGap::Reader value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::set(_builder.getPointerField(
+inline void GrantList::Builder::setGrants( ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::marjorampath::schema::KeyGap::Builder KeySnapshot::Builder::initGap() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>::Builder GrantList::Builder::initGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void KeySnapshot::Builder::adoptGap(
-    ::capnp::Orphan< ::marjorampath::schema::KeyGap>&& value) {
-  ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::adopt(_builder.getPointerField(
+inline void GrantList::Builder::adoptGrants(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::marjorampath::schema::KeyGap> KeySnapshot::Builder::disownGap() {
-  return ::capnp::_::PointerHelpers< ::marjorampath::schema::KeyGap>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>> GrantList::Builder::disownGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::HeldGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool KeySnapshot::Reader::hasRecords() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool KeySnapshot::Builder::hasRecords() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader KeySnapshot::Reader::getRecords() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeySnapshot::Builder::getRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void KeySnapshot::Builder::setRecords( ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>::Builder KeySnapshot::Builder::initRecords(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void KeySnapshot::Builder::adoptRecords(
-    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>> KeySnapshot::Builder::disownRecords() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::KeyRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint64_t KeySnapshotReply::Reader::getShard() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeySnapshotReply::Builder::getShard() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KeySnapshotReply::Builder::setShard( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeySnapshotReply::Reader::getBackup() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeySnapshotReply::Builder::getBackup() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void KeySnapshotReply::Builder::setBackup( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t KeySnapshotReply::Reader::getFencingNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t KeySnapshotReply::Builder::getFencingNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void KeySnapshotReply::Builder::setFencingNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t KeySnapshotReply::Reader::getPart() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t KeySnapshotReply::Builder::getPart() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-inline void KeySnapshotReply::Builder::setPart( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeySnapshotReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
-}
-
-inline bool KeySnapshotReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
-}
-inline void KeySnapshotReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t SheetRequest::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
--- a/serving/link/node_hello.hpp
+++ b/serving/link/node_hello.hpp
@@ -8,8 +8,8 @@
 {
 
 /// Version of the protocol between nodes that this program speaks. It also speaks the
-/// one before.
-inline constexpr std::uint32_t node_protocol_version = 1;
+/// one before. Number 1 had other method numbers.
+inline constexpr std::uint32_t node_protocol_version = 3;
 
 /// The first message in each direction of a connection between nodes.
 struct node_hello
--- a/serving/link/node_method.hpp
+++ b/serving/link/node_method.hpp
@@ -2,7 +2,6 @@
 
 #include <schema/node.capnp.h>
 #include <serving/link/grant_codec.hpp>
-#include <serving/link/key_codec.hpp>
 #include <serving/link/lease_codec.hpp>
 #include <serving/link/membership_codec.hpp>
 #include <serving/link/sheet_codec.hpp>
@@ -103,50 +102,6 @@
     }
 };
 
-/// `keyBegin`
-template <>
-struct node_method<key_begin>
-{
-    using reply = key_begin_reply;
-    static auto start(schema::Node::Client& node)
-    {
-        return node.keyBeginRequest();
-    }
-};
-
-/// `keyComplete`
-template <>
-struct node_method<key_complete>
-{
-    using reply = key_complete_reply;
-    static auto start(schema::Node::Client& node)
-    {
-        return node.keyCompleteRequest();
-    }
-};
-
-/// `keyCopy`
-template <>
-struct node_method<key_copy>
-{
-    using reply = key_copy_reply;
-    static auto start(schema::Node::Client& node)
-    {
-        return node.keyCopyRequest();
-    }
-};
-
-/// `keyRecover`
-template <>
-struct node_method<key_recovery_request>
-{
-    using reply = key_recovery_reply;
-    static auto start(schema::Node::Client& node)
-    {
-        return node.keyRecoverRequest();
-    }
-};
-
 /// `fetchSheet`
 template <>
 struct node_method<sheet_request>
@@ -158,15 +113,4 @@
     }
 };
 
-/// `keySnapshot`
-template <>
-struct node_method<key_snapshot>
-{
-    using reply = key_snapshot_reply;
-    static auto start(schema::Node::Client& node)
-    {
-        return node.keySnapshotRequest();
-    }
-};
-
 } // namespace marjorampath::serving
--- a/serving/link/node_server.cpp
+++ b/serving/link/node_server.cpp
@@ -116,34 +116,9 @@
     return serve(service_.on_recall, context);
 }
 
-kj::Promise<void> node_server::keyBegin(KeyBeginContext context)
-{
-    return serve(service_.on_key_begin, context);
-}
-
-kj::Promise<void> node_server::keyComplete(KeyCompleteContext context)
-{
-    return serve(service_.on_key_complete, context);
-}
-
-kj::Promise<void> node_server::keyCopy(KeyCopyContext context)
-{
-    return serve(service_.on_key_copy, context);
-}
-
-kj::Promise<void> node_server::keyRecover(KeyRecoverContext context)
-{
-    return serve(service_.on_key_recovery, context);
-}
-
 kj::Promise<void> node_server::fetchSheet(FetchSheetContext context)
 {
     return serve(service_.on_sheet, context);
 }
 
-kj::Promise<void> node_server::keySnapshot(KeySnapshotContext context)
-{
-    return serve(service_.on_key_snapshot, context);
-}
-
 } // namespace marjorampath::serving
--- a/serving/link/node_server.hpp
+++ b/serving/link/node_server.hpp
@@ -26,12 +26,7 @@
     kj::Promise<void> grant(GrantContext context) override;
     kj::Promise<void> releaseGrant(ReleaseGrantContext context) override;
     kj::Promise<void> recallGrants(RecallGrantsContext context) override;
-    kj::Promise<void> keyBegin(KeyBeginContext context) override;
-    kj::Promise<void> keyComplete(KeyCompleteContext context) override;
-    kj::Promise<void> keyCopy(KeyCopyContext context) override;
-    kj::Promise<void> keyRecover(KeyRecoverContext context) override;
     kj::Promise<void> fetchSheet(FetchSheetContext context) override;
-    kj::Promise<void> keySnapshot(KeySnapshotContext context) override;
 
 private:
     // The caller has given up on a call that was not answered
--- a/serving/link/node_service.hpp
+++ b/serving/link/node_service.hpp
@@ -2,16 +2,6 @@
 
 #include <marjorampath/gossip/sheet_reply.hpp>
 #include <marjorampath/gossip/sheet_request.hpp>
-#include <marjorampath/key/key_begin.hpp>
-#include <marjorampath/key/key_begin_reply.hpp>
-#include <marjorampath/key/key_complete.hpp>
-#include <marjorampath/key/key_complete_reply.hpp>
-#include <marjorampath/key/key_copy.hpp>
-#include <marjorampath/key/key_copy_reply.hpp>
-#include <marjorampath/key/key_recovery_reply.hpp>
-#include <marjorampath/key/key_recovery_request.hpp>
-#include <marjorampath/key/key_snapshot.hpp>
-#include <marjorampath/key/key_snapshot_reply.hpp>
 #include <marjorampath/lease/grant_list.hpp>
 #include <marjorampath/lease/grant_recall.hpp>
 #include <marjorampath/lease/lease_release.hpp>
@@ -62,16 +52,6 @@
     call_function<cell_release, acknowledgement> on_release;
     /// A new owner asks for the grants held here.
     call_function<grant_recall, grant_list> on_recall;
-    /// A request with an idempotency key is about to run.
-    call_function<key_begin, key_begin_reply> on_key_begin;
-    /// A request with an idempotency key has ended.
-    call_function<key_complete, key_complete_reply> on_key_complete;
-    /// A home's copy of a key.
-    call_function<key_copy, key_copy_reply> on_key_copy;
-    /// A new home asks for what is remembered here.
-    call_function<key_recovery_request, key_recovery_reply> on_key_recovery;
-    /// A home's records, sent to a new backup.
-    call_function<key_snapshot, key_snapshot_reply> on_key_snapshot;
     /// A peer asks for the sheet.
     call_function<sheet_request, sheet_reply> on_sheet;
 };
--- a/serving/replay/replay_runner.cpp
+++ b/serving/replay/replay_runner.cpp
@@ -75,8 +75,6 @@
     constexpr unsigned unavailable = 503;
     if (attempt.status == 0)
         return !traced.key.empty();
-    if (attempt.error_kind == "key-in-progress")
-        return true;
     return attempt.outcome == "not-run" &&
            (attempt.status == too_many_requests || attempt.status == unavailable);
 }
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -150,11 +150,6 @@
     event_entry{request_rejected, info, "request_rejected",
                 "A request was answered with an error of this host; `outcome` tells "
                 "whether it ran."},
-    event_entry{key_unknown, warning, "key_unknown",
-                "Whether a request with this key ran can no longer be told. Compare with "
-                "the endpoint's records."},
-    event_entry{key_recovered, info, "key_recovered",
-                "The memory of a shard of the keys was collected from the hosts."},
     event_entry{request_suspected, warning, "request_suspected",
                 "A request was in flight when its endpoint died; it runs again alone."},
     event_entry{request_convicted, error, "request_convicted",
@@ -164,10 +159,6 @@
                 "A refused request may run again."},
     event_entry{conviction_released, info, "conviction_released",
                 "An operator released a refused request."},
-
-    event_entry{admin_act, info, "admin_act", "An operator acted."},
-    event_entry{admin_refused, warning, "admin_refused",
-                "An operator's act was refused: unknown token or role."},
 };
 
 constexpr bool numbers_rise()
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -84,15 +84,10 @@
     attempt_ended = 604,
     request_answered = 605,
     request_rejected = 606,
-    key_unknown = 610,
-    key_recovered = 611,
     request_suspected = 620,
     request_convicted = 621,
     conviction_expired = 622,
-    conviction_released = 623,
-
-    admin_act = 700,
-    admin_refused = 701
+    conviction_released = 623
 };
 
 /// How serious an event is.
