Stand in for the store and the endpoints of the users' platform

Cause: the entry node could only be run by the users' bench, so that neither a test of processes nor a soak could show it. A test's child process may be one whose address is known.

--- a/programs/marjorampath-standin/main.cpp
+++ b/programs/marjorampath-standin/main.cpp
@@ -19,13 +19,17 @@
     subcommand{"configuration", "the configuration service",
                marjorampath::standin::run_configuration},
     subcommand{"hosts", "the host list", marjorampath::standin::run_hosts},
+    subcommand{"users-store", "the store of the users' platform",
+               marjorampath::standin::run_users_store},
+    subcommand{"users-endpoint", "an endpoint of the users' platform",
+               marjorampath::standin::run_users_endpoint},
 };
 
 int print_usage()
 {
     fmt::print(stderr, "usage: marjorampath-standin SUBCOMMAND [OPTIONS]\n");
     for (auto const& each : subcommands)
-        fmt::print(stderr, "  {:14} {}\n", each.name, each.summary);
+        fmt::print(stderr, "  {:16} {}\n", each.name, each.summary);
     return 2;
 }
 
--- a/programs/marjorampath-standin/subcommand.hpp
+++ b/programs/marjorampath-standin/subcommand.hpp
@@ -34,4 +34,10 @@
 /// The host list.
 int run_hosts(std::vector<std::string>& arguments);
 
+/// The store of the users' platform.
+int run_users_store(std::vector<std::string>& arguments);
+
+/// An endpoint of the users' platform.
+int run_users_endpoint(std::vector<std::string>& arguments);
+
 } // namespace marjorampath::standin
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -33,35 +33,20 @@
 child_process::child_process(std::string const& program,
                              std::vector<std::string> arguments, std::string const& log)
 {
-    auto const folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
-    arguments.insert(arguments.begin(), (folder / program).string());
-    std::vector<char*> pointers;
-    for (auto& argument : arguments)
-        pointers.push_back(argument.data());
-    pointers.push_back(nullptr);
-
     // Standard output comes through a pipe, standard error goes to the log
     int pipe[2] = {-1, -1};
     if (::pipe2(pipe, O_CLOEXEC) != 0)
         throw std::runtime_error("no pipe");
-    posix_spawn_file_actions_t actions;
-    ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
-    ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
-                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
-    int const error =
-        ::posix_spawn(&pid_, pointers[0], &actions, nullptr, pointers.data(), environ);
-    ::posix_spawn_file_actions_destroy(&actions);
+    start(program, std::move(arguments), log, pipe[1]);
     ::close(pipe[1]);
 
-    first_line_ = error == 0 ? read_line(pipe[0]) : std::string();
+    first_line_ = pid_ != 0 ? read_line(pipe[0]) : std::string();
     ::close(pipe[0]);
     auto const address =
         serving::parse_address(first_line_.substr(first_line_.rfind(' ') + 1));
     if (!address)
     {
-        if (error == 0)
-            signal(SIGKILL);
+        signal(SIGKILL);
         wait(std::chrono::seconds(5));
         throw std::runtime_error(fmt::format("{} printed no address but `{}`; log {}",
                                              program, first_line_, log));
@@ -69,6 +54,38 @@
     address_ = *address;
 }
 
+child_process::child_process(std::string const& program,
+                             std::vector<std::string> arguments, std::string const& log,
+                             boost::asio::ip::tcp::endpoint const& address)
+    : address_(address)
+{
+    start(program, std::move(arguments), log, -1);
+    if (pid_ == 0)
+        throw std::runtime_error(fmt::format("{} cannot be started", program));
+}
+
+void child_process::start(std::string const& program, std::vector<std::string> arguments,
+                          std::string const& log, int output)
+{
+    auto const folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    arguments.insert(arguments.begin(), (folder / program).string());
+    std::vector<char*> pointers;
+    for (auto& argument : arguments)
+        pointers.push_back(argument.data());
+    pointers.push_back(nullptr);
+
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::posix_spawn_file_actions_adddup2(&actions, output < 0 ? STDERR_FILENO : output,
+                                       STDOUT_FILENO);
+    if (::posix_spawn(&pid_, pointers[0], &actions, nullptr, pointers.data(), environ) !=
+        0)
+        pid_ = 0;
+    ::posix_spawn_file_actions_destroy(&actions);
+}
+
 child_process::~child_process()
 {
     if (pid_ == 0)
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -22,6 +22,11 @@
     child_process(std::string const& program, std::vector<std::string> arguments,
                   std::string const& log);
 
+    /// Starts a program whose address is known, so that it may take some time to listen;
+    /// its standard output and error go to `log`. Throws std::runtime_error.
+    child_process(std::string const& program, std::vector<std::string> arguments,
+                  std::string const& log, boost::asio::ip::tcp::endpoint const& address);
+
     /// Kills the process.
     ~child_process();
 
@@ -65,6 +70,11 @@
     [[nodiscard]] std::size_t resident_bytes() const;
 
 private:
+    // Starts the program; `output` is the descriptor that its standard output goes to, or
+    // -1 for the log
+    void start(std::string const& program, std::vector<std::string> arguments,
+               std::string const& log, int output);
+
     // Reads the first line of standard output
     std::string read_line(int pipe) const;
 
