--- a/marjorampath/adapter_load/load_planner.cpp
+++ b/marjorampath/adapter_load/load_planner.cpp
@@ -280,7 +280,10 @@
 duration load_planner::load_time(time_point now) const
 {
     auto const coming = transit(now) + foreign_transit_ + 1;
-    auto const full = options_.transit_at_full_speed;
+    auto const full =
+        std::max(options_.transit_at_full_speed,
+                 static_cast<std::uint32_t>(options_.transit_of_each_engine *
+                                            static_cast<double>(engines_.size())));
     return coming <= full ? options_.adapter_load_time
                           : options_.adapter_load_time * coming / full;
 }
@@ -445,37 +448,50 @@
     }
 }
 
-std::vector<engine_status> load_planner::statuses(time_point now) const
+engine_status load_planner::status(endpoint_id id, engine const& subject,
+                                   time_point now) const
 {
-    std::vector<engine_status> found;
-    for (auto const& [id, subject] : engines_)
+    engine_status status{
+        .endpoint = id,
+        .born = subject.announced.born,
+        .orderable = orderable(subject, now),
+        .orderable_in = std::max(duration{0}, subject.may_order_from - now),
+        .free_places = free_places(subject),
+        .models = subject.reported ? subject.models : subject.announced.models};
+    for (auto const& [host, reported] : subject.usages)
     {
-        if (subject.fencing_number == 0)
+        if (now - reported.at > options_.usage_memory)
             continue;
-        engine_status status{
-            .endpoint = id,
-            .born = subject.announced.born,
-            .orderable = orderable(subject, now),
-            .orderable_in = std::max(duration{0}, subject.may_order_from - now),
-            .free_places = free_places(subject),
-            .models = subject.reported ? subject.models : subject.announced.models};
-        for (auto const& [host, reported] : subject.usages)
-        {
-            if (now - reported.at > options_.usage_memory)
-                continue;
-            status.in_flight += reported.usage.in_flight;
-            status.waiting_tokens += reported.usage.waiting_tokens;
-            status.tokens += reported.usage.tokens;
-        }
-        for (auto const& [name, adapter] : subject.adapters)
-            if (!adapter.leaving)
-                status.adapters.push_back(
-                    {.name = name,
-                     .version = adapter.version,
-                     .ready_in = std::max(duration{0}, adapter.ready_at - now)});
-        found.push_back(std::move(status));
+        status.in_flight += reported.usage.in_flight;
+        status.waiting_tokens += reported.usage.waiting_tokens;
+        status.tokens += reported.usage.tokens;
     }
+    for (auto const& [name, adapter] : subject.adapters)
+        if (!adapter.leaving)
+            status.adapters.push_back(
+                {.name = name,
+                 .version = adapter.version,
+                 .ready_in = std::max(duration{0}, adapter.ready_at - now),
+                 .requests = score(subject, name, now)});
+    return status;
+}
+
+std::vector<engine_status> load_planner::statuses(time_point now) const
+{
+    std::vector<engine_status> found;
+    for (auto const& [id, subject] : engines_)
+        if (subject.fencing_number != 0)
+            found.push_back(status(id, subject, now));
     return found;
 }
 
+std::optional<engine_status> load_planner::status_of(endpoint_id endpoint,
+                                                     time_point now) const
+{
+    auto const found = engines_.find(endpoint);
+    if (found == engines_.end() || found->second.fencing_number == 0)
+        return std::nullopt;
+    return status(endpoint, found->second, now);
+}
+
 } // namespace marjorampath
--- a/marjorampath/adapter_load/load_planner.hpp
+++ b/marjorampath/adapter_load/load_planner.hpp
@@ -74,6 +74,10 @@
     /// The engines of this host, for the other hosts.
     [[nodiscard]] std::vector<engine_status> statuses(time_point now) const;
 
+    /// One engine of this host, or nothing for another one's.
+    [[nodiscard]] std::optional<engine_status> status_of(endpoint_id endpoint,
+                                                         time_point now) const;
+
     /// Whether this host holds an engine's lease.
     [[nodiscard]] bool holds(endpoint_id endpoint) const;
 
@@ -171,6 +175,9 @@
     // Whether a host has requests for an adapter in flight
     [[nodiscard]] bool in_use(engine const& subject, std::string const& adapter,
                               time_point now) const;
+    // One engine for the other hosts
+    [[nodiscard]] engine_status status(endpoint_id id, engine const& subject,
+                                       time_point now) const;
     // Decayed number of requests for an adapter
     [[nodiscard]] double score(engine const& subject, std::string const& adapter,
                                time_point now) const;
--- a/marjorampath/adapter_load/load_planner_options.hpp
+++ b/marjorampath/adapter_load/load_planner_options.hpp
@@ -15,10 +15,15 @@
     /// which endpoints count orders of two hosts as taking turns.
     duration quiet_time = std::chrono::milliseconds(3'100);
     /// Time of an adapter's load from the weight store, unloaded.
-    duration adapter_load_time = std::chrono::milliseconds(255);
+    duration adapter_load_time = std::chrono::milliseconds(290);
     /// Adapters on their way from the weight store to all engines that are loaded at full
-    /// speed; loads take longer in proportion beyond.
+    /// speed, at least; loads take longer in proportion beyond. The store does not tell:
+    /// the deployments' sheets have 8 for up to 12 engines, 32 for 60, 40 for 90.
     std::uint32_t transit_at_full_speed = 8;
+    /// The same for each engine, in larger deployments. Rather too many: a request that
+    /// comes too early is refused and lengthens the margin, one that waits too long does
+    /// not show.
+    double transit_of_each_engine = 0.4;
     /// Adapters that may be on their way to one engine: the engine's own bound.
     std::uint32_t transit_of_engine = 4;
     /// Half-life of the counts by which adapters are kept.
@@ -27,7 +32,7 @@
     /// gets there.
     duration arrival_protection = std::chrono::milliseconds(600);
     /// Time after which what a host reported as in flight is not believed any more.
-    duration usage_memory = std::chrono::seconds(2);
+    duration usage_memory = std::chrono::seconds(3);
     /// Time before a report tells of an order: the lag of reports.
     duration report_lag = std::chrono::milliseconds(500);
     /// Orders that may wait for one engine.
--- a/marjorampath/dispatch/dispatch_decision.hpp
+++ b/marjorampath/dispatch/dispatch_decision.hpp
@@ -42,6 +42,9 @@
     duration expected{0};
     /// Load to ask the engine's lease holder for, at once.
     std::optional<load_wish> load;
+    /// Whether what is known of the endpoint is so old that its lease holder should be
+    /// asked first, and the decision made again.
+    bool confirm = false;
     /// When to ask again at the latest.
     time_point recheck;
     /// Why it is refused.
--- a/marjorampath/dispatch/dispatch_options.hpp
+++ b/marjorampath/dispatch/dispatch_options.hpp
@@ -17,19 +17,30 @@
     /// one step of a batch, shared between the requests that it serves.
     duration running_cost = std::chrono::microseconds(300);
     /// Time of an adapter's load: the deployment sheets' weight store, unloaded.
-    duration adapter_load_time = std::chrono::milliseconds(250);
+    duration adapter_load_time = std::chrono::milliseconds(290);
     /// What a longer way to another zone counts, so that equals stay in their zone.
     duration other_zone_cost = std::chrono::milliseconds(6);
     /// What a new copy of an adapter must save before it is loaded beside a present one.
     duration copy_gain = std::chrono::milliseconds(150);
+    /// Requests of the last seconds at one engine that make an adapter popular: about one
+    /// a second, whose prompts alone take a tenth of the engine.
+    double popular_requests = 10;
     /// Time for which a prompt part is expected to stay in an engine's cache.
     duration part_memory = std::chrono::seconds(20);
+    /// Backlog of prompts beyond which the streams of an engine pause for too long: half
+    /// of the longest pause that the deployment sheets allow.
+    duration quiet_backlog = std::chrono::milliseconds(300);
     /// Multiple of a request's objective that it may have to wait for its first byte; it
     /// is refused beyond. A late answer is worth about half of one in time.
     double longest_wait = 3.0;
-    /// Time after which the status that a lease holder reported of an engine is stale:
-    /// five intervals between beats.
+    /// Time after which the status that a lease holder reported of an engine is stale, at
+    /// least: five intervals between beats of a small fleet.
     duration status_memory = std::chrono::milliseconds(1'200);
+    /// The same in intervals between beats, for larger fleets.
+    std::uint32_t status_memory_beats = 3;
+    /// Age up to which a lease holder's report of an engine need not be confirmed before
+    /// a request is sent there: less than a short prompt takes.
+    duration fresh_status = std::chrono::milliseconds(20);
     /// Time for which an engine's own answer outweighs older reports of what it holds.
     duration answer_memory = std::chrono::milliseconds(700);
     /// Pause before an engine is asked again for a load that it refused.
--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -32,11 +32,17 @@
 } // namespace
 
 dispatcher::dispatcher(zone_id zone, dispatch_options options)
-    : zone_(zone), options_(options),
+    : zone_(zone), options_(options), status_memory_(options.status_memory),
       random_(static_cast<std::minstd_rand::result_type>(options.seed))
 {
 }
 
+void dispatcher::set_status_interval(duration interval)
+{
+    status_memory_ =
+        std::max(options_.status_memory, interval * options_.status_memory_beats);
+}
+
 void dispatcher::set_services(std::vector<service_definition> const& services)
 {
     engines_.clear();
@@ -62,7 +68,7 @@
     load.announced = announced;
 
     // An announcement lags, so it yields to what was learnt since
-    auto const recent = now - options_.status_memory * 2;
+    auto const recent = now - status_memory_ * 2;
     if (load.status_at > recent)
     {
         load.announced.models = models;
@@ -83,6 +89,7 @@
     if (found == loads_.end() || found->second.announced.born != status.born)
         return;
     auto& load = found->second;
+    load.reported_at = now;
     load.status_at = status.orderable ? now : time_point{};
     load.orderable_at.reset();
     if (!status.orderable)
@@ -98,11 +105,14 @@
     std::erase_if(load.adapters, [&](auto const& entry)
                   { return now - entry.second.known_at > options_.answer_memory; });
     for (auto const& adapter : status.adapters)
-        load.adapters.try_emplace(
+    {
+        auto const known = load.adapters.try_emplace(
             adapter.name, adapter_belief{.present = true,
                                          .version = adapter.version,
                                          .ready_at = arrival(now, adapter.ready_in),
                                          .known_at = now - options_.answer_memory});
+        known.first->second.requests = adapter.requests;
+    }
 }
 
 void dispatcher::on_others(endpoint_id endpoint, std::uint32_t in_flight)
@@ -190,7 +200,7 @@
 {
     auto const found = load.adapters.find(adapter);
     if (found == load.adapters.end() || found->second.delay > duration{0} ||
-        now - found->second.ready_at > options_.status_memory)
+        now - found->second.ready_at > status_memory_)
         return;
     arrival_margin_ -= std::min(arrival_margin_, margin_fall);
 }
--- a/marjorampath/dispatch/dispatcher.hpp
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -39,6 +39,9 @@
     /// Takes the services of a deployment.
     void set_services(std::vector<service_definition> const& services);
 
+    /// Takes the time between two reports of a lease holder, which grows with the fleet.
+    void set_status_interval(duration interval);
+
     /// Takes a change of the catalog.
     void on_endpoint(endpoint_event const& event, time_point now);
 
@@ -94,8 +97,16 @@
         endpoint_load* load = nullptr;
         // Expected time to the first byte
         duration expected{0};
+        // What the request costs the streams that run there
+        duration crowding{0};
         // Order of equals, the same on all hosts
         std::uint64_t rank = 0;
+
+        // What endpoints are compared by
+        [[nodiscard]] duration cost() const
+        {
+            return expected + crowding;
+        }
     };
 
     // Endpoints that may get a request of the service
@@ -163,10 +174,15 @@
     // A refusal with a pause that differs between callers
     dispatch_decision refuse(error_kind reason, duration pause);
 
+    // Time by which a newcomer would keep the streams of an engine waiting for too long
+    [[nodiscard]] duration crowding(duration backlog) const;
+
     // This host's zone
     zone_id zone_;
     // Settings
     dispatch_options options_;
+    // Time after which a lease holder's report is stale
+    duration status_memory_;
     // Engines of each model service, by service
     std::map<service_id, engine_definition> engines_;
     // Endpoints
--- a/marjorampath/dispatch/dispatcher_decide.cpp
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -103,18 +103,29 @@
     auto const needed = request.prompt_tokens + request.output_tokens;
     candidate const* best = nullptr;
     std::vector<candidate> absent;
+
+    // Hosts with the same reports must not choose the same one of equals
+    auto const better = [&](candidate const& left, candidate const& right)
+    {
+        if (left.cost() != right.cost())
+            return left.cost() < right.cost();
+        return rendezvous_weight(request.id, left.load->announced.id) >
+               rendezvous_weight(request.id, right.load->announced.id);
+    };
     for (auto& each : found)
     {
         auto const& load = *each.load;
         auto const& models = load.announced.models;
         if (std::find(models.begin(), models.end(), request.model) == models.end())
             continue;
-        each.expected += queue_time(load) + prefill_time(request, load, now);
+        auto const backlog = queue_time(load) + prefill_time(request, load, now);
+        each.expected += backlog;
+        each.crowding = crowding(backlog);
         if (static_cast<double>(load.tokens + load.others_tokens + needed) > cache_tokens)
             each.expected += cache_wait;
         if (request.adapter.empty())
         {
-            if (!best || each.expected < best->expected)
+            if (!best || better(each, *best))
                 best = &each;
             continue;
         }
@@ -127,7 +138,7 @@
         }
         if (held->ready_at > now)
             each.expected += held->ready_at - now;
-        if (!best || each.expected < best->expected)
+        if (!best || better(each, *best))
             best = &each;
     }
 
@@ -142,18 +153,22 @@
         return refuse(error_kind::deadline_unreachable,
                       best->expected - std::min(best->expected, request.objective / 2));
 
-    // A further copy pays where the queue at the present ones is long
+    auto const confirm = now - best->load->reported_at > options_.fresh_status;
+
+    // A further copy pays where the queue at the present ones is long, and earlier for an
+    // adapter that many ask for
     std::optional<load_wish> wish;
-    if (target && !is_coming(request, now) &&
-        best->expected >
+    auto const& load = *best->load;
+    auto const* held = belief(load, request.adapter);
+    auto const popular = held && held->requests >= options_.popular_requests;
+    if (target && !confirm && !is_coming(request, now) &&
+        (popular ? best->cost() : best->expected) >
             options_.adapter_load_time + target->expected + options_.copy_gain)
         wish = load_wish{target->load->announced.id, request.adapter};
     if (wish)
         target->load->asked_loads[request.adapter].answer_until =
             now + options_.load_answer_timeout;
 
-    auto const& load = *best->load;
-    auto const* held = belief(load, request.adapter);
     if (held && held->ready_at > now)
         return {.act = dispatch_act::wait,
                 .endpoint = load.announced.id,
@@ -163,7 +178,8 @@
     return {.act = dispatch_act::send,
             .endpoint = load.announced.id,
             .expected = best->expected,
-            .load = wish};
+            .load = wish,
+            .confirm = confirm};
 }
 
 dispatcher::candidate const* dispatcher::load_target(std::string const& adapter,
@@ -180,7 +196,7 @@
     {
         auto const& load = *each.load;
         auto const asked = load.asked_loads.find(adapter);
-        if (now - load.status_at > options_.status_memory ||
+        if (now - load.status_at > status_memory_ ||
             (asked != load.asked_loads.end() &&
              (asked->second.answer_until > now || asked->second.refused_until > now)))
             continue;
@@ -221,7 +237,7 @@
     {
         if (load.announced.service != service || load.announced.draining)
             continue;
-        if (now - load.status_at <= options_.status_memory)
+        if (now - load.status_at <= status_memory_)
             return options_.retry_pause;
         if (load.orderable_at && *load.orderable_at > now)
             first = std::min(first.value_or(*load.orderable_at), *load.orderable_at);
@@ -242,7 +258,7 @@
                            auto const& load = entry.second;
                            return load.announced.service == request.service &&
                                   !load.announced.draining &&
-                                  now - load.status_at <= options_.status_memory;
+                                  now - load.status_at <= status_memory_;
                        });
 }
 
@@ -306,6 +322,11 @@
     return from_ms(left / options_.prefill_tokens_per_ms);
 }
 
+duration dispatcher::crowding(duration backlog) const
+{
+    return std::max(duration{0}, backlog - options_.quiet_backlog);
+}
+
 duration dispatcher::failure_cost(endpoint_load const& load, duration objective)
 {
     return scaled(objective, load.failure_rate + load.refusal_rate);
--- a/marjorampath/dispatch/endpoint_load.hpp
+++ b/marjorampath/dispatch/endpoint_load.hpp
@@ -22,6 +22,8 @@
     std::uint64_t version = 0;
     /// When its load ends.
     time_point ready_at;
+    /// Requests of the last seconds from all hosts, by the lease holder's last report.
+    double requests = 0;
     /// Pause since it was last found not to be there yet; zero for none.
     duration delay{0};
     /// When this was learnt.
@@ -66,6 +68,8 @@
     std::uint64_t others_tokens = 0;
     /// When a lease holder that may give orders last reported the engine.
     time_point status_at{};
+    /// When a lease holder last reported the engine, able to give orders or not.
+    time_point reported_at{};
     /// When its lease holder expects to give orders again; not set while it may, or while
     /// nobody told.
     std::optional<time_point> orderable_at;
--- a/marjorampath/peer/engine_status.hpp
+++ b/marjorampath/peer/engine_status.hpp
@@ -19,6 +19,8 @@
     std::uint64_t version = 0;
     /// Time until its load ends; zero where it is there.
     duration ready_in{0};
+    /// Requests for it in the last seconds.
+    double requests = 0;
 };
 
 /// An engine, as the host that holds its lease tells the other hosts.
--- a/marjorampath/peer/peer_table.cpp
+++ b/marjorampath/peer/peer_table.cpp
@@ -17,9 +17,9 @@
 
 duration peer_table::beat_interval() const
 {
-    auto const hosts = std::max(peers_.size(), options_.small_fleet);
+    auto const hosts = std::max(peers_.size(), options_.frequent_fleet);
     return options_.beat_interval * static_cast<std::int64_t>(hosts) /
-           static_cast<std::int64_t>(options_.small_fleet);
+           static_cast<std::int64_t>(options_.frequent_fleet);
 }
 
 duration peer_table::silence() const
--- a/marjorampath/peer/peer_table_options.hpp
+++ b/marjorampath/peer/peer_table_options.hpp
@@ -13,12 +13,15 @@
 {
     /// Time between two beats to each host, in a small fleet.
     duration beat_interval = std::chrono::milliseconds(200);
-    /// Hosts beyond which beats become rarer, in proportion.
+    /// Hosts beyond which beats become rarer, in proportion: 180 datagrams a second each
+    /// way.
+    std::size_t frequent_fleet = 36;
+    /// Hosts up to which each one reads the store itself.
     std::size_t small_fleet = 12;
     /// Beats that may be missed before a host counts as silent.
     std::uint32_t missed_beats = 5;
     /// Hosts that one beat mentions beside its receiver.
-    std::size_t mentions = 8;
+    std::size_t mentions = 3;
     /// Hosts of each zone of a larger fleet that read the store; the others learn from
     /// them. Two, so that the loss of one is not felt.
     std::size_t readers_per_zone = 2;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -22,6 +22,7 @@
   name @0 :Text;
   version @1 :UInt64;
   readyIn @2 :Int64;
+  requests @3 :UInt16;
 }
 
 struct EngineStatus {
@@ -80,6 +81,12 @@
   readyIn @3 :Int64;
 }
 
+struct UsageReport {
+  host @0 :UInt64;
+  usage @1 :EngineUsage;
+  wantsStatus @2 :Bool;
+}
+
 struct PeerMessage {
   union {
     beat @0 :PeerBeat;
@@ -88,5 +95,7 @@
     leaseRelease @3 :Node.LeaseRelease;
     loadRequest @4 :LoadRequest;
     loadReply @5 :LoadReply;
+    usageReport @6 :UsageReport;
+    engineStatus @7 :EngineStatus;
   }
 }
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -29,6 +29,7 @@
 CAPNP_DECLARE_SCHEMA(971727d6bb86b28a);
 CAPNP_DECLARE_SCHEMA(96cbd4fe8a8c5b2b);
 CAPNP_DECLARE_SCHEMA(bd4bd6b5542b57b5);
+CAPNP_DECLARE_SCHEMA(d84a6dda3ad80ecd);
 CAPNP_DECLARE_SCHEMA(847233afdbf5f090);
 
 }  // namespace schemas
@@ -75,7 +76,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c8eef6fed0e579dc, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c8eef6fed0e579dc, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -172,6 +173,21 @@
   };
 };
 
+struct UsageReport {
+  UsageReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d84a6dda3ad80ecd, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerMessage {
   PeerMessage() = delete;
 
@@ -185,6 +201,8 @@
     LEASE_RELEASE,
     LOAD_REQUEST,
     LOAD_REPLY,
+    USAGE_REPORT,
+    ENGINE_STATUS,
   };
 
   struct _capnpPrivate {
@@ -394,6 +412,8 @@
 
   inline  ::int64_t getReadyIn() const;
 
+  inline  ::uint16_t getRequests() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -435,6 +455,9 @@
   inline  ::int64_t getReadyIn();
   inline void setReadyIn( ::int64_t value);
 
+  inline  ::uint16_t getRequests();
+  inline void setRequests( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1134,6 +1157,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class UsageReport::Reader {
+public:
+  typedef UsageReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHost() const;
+
+  inline bool hasUsage() const;
+  inline  ::marjorampath::schema::EngineUsage::Reader getUsage() const;
+
+  inline bool getWantsStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UsageReport::Builder {
+public:
+  typedef UsageReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHost();
+  inline void setHost( ::uint64_t value);
+
+  inline bool hasUsage();
+  inline  ::marjorampath::schema::EngineUsage::Builder getUsage();
+  inline void setUsage( ::marjorampath::schema::EngineUsage::Reader value);
+  inline  ::marjorampath::schema::EngineUsage::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::marjorampath::schema::EngineUsage>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::EngineUsage> disownUsage();
+
+  inline bool getWantsStatus();
+  inline void setWantsStatus(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UsageReport::Pipeline {
+public:
+  typedef UsageReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::marjorampath::schema::EngineUsage::Pipeline getUsage();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerMessage::Reader {
 public:
   typedef PeerMessage Reads;
@@ -1176,6 +1291,14 @@
   inline bool hasLoadReply() const;
   inline  ::marjorampath::schema::LoadReply::Reader getLoadReply() const;
 
+  inline bool isUsageReport() const;
+  inline bool hasUsageReport() const;
+  inline  ::marjorampath::schema::UsageReport::Reader getUsageReport() const;
+
+  inline bool isEngineStatus() const;
+  inline bool hasEngineStatus() const;
+  inline  ::marjorampath::schema::EngineStatus::Reader getEngineStatus() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1253,6 +1376,22 @@
   inline void adoptLoadReply(::capnp::Orphan< ::marjorampath::schema::LoadReply>&& value);
   inline ::capnp::Orphan< ::marjorampath::schema::LoadReply> disownLoadReply();
 
+  inline bool isUsageReport();
+  inline bool hasUsageReport();
+  inline  ::marjorampath::schema::UsageReport::Builder getUsageReport();
+  inline void setUsageReport( ::marjorampath::schema::UsageReport::Reader value);
+  inline  ::marjorampath::schema::UsageReport::Builder initUsageReport();
+  inline void adoptUsageReport(::capnp::Orphan< ::marjorampath::schema::UsageReport>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::UsageReport> disownUsageReport();
+
+  inline bool isEngineStatus();
+  inline bool hasEngineStatus();
+  inline  ::marjorampath::schema::EngineStatus::Builder getEngineStatus();
+  inline void setEngineStatus( ::marjorampath::schema::EngineStatus::Reader value);
+  inline  ::marjorampath::schema::EngineStatus::Builder initEngineStatus();
+  inline void adoptEngineStatus(::capnp::Orphan< ::marjorampath::schema::EngineStatus>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::EngineStatus> disownEngineStatus();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1438,6 +1577,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t AdapterStatus::Reader::getRequests() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t AdapterStatus::Builder::getRequests() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void AdapterStatus::Builder::setRequests( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EngineStatus::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2199,6 +2352,73 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UsageReport::Reader::getHost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UsageReport::Builder::getHost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UsageReport::Builder::setHost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UsageReport::Reader::hasUsage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UsageReport::Builder::hasUsage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::EngineUsage::Reader UsageReport::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineUsage>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::EngineUsage::Builder UsageReport::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineUsage>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::EngineUsage::Pipeline UsageReport::Pipeline::getUsage() {
+  return  ::marjorampath::schema::EngineUsage::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void UsageReport::Builder::setUsage( ::marjorampath::schema::EngineUsage::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineUsage>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::EngineUsage::Builder UsageReport::Builder::initUsage() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineUsage>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UsageReport::Builder::adoptUsage(
+    ::capnp::Orphan< ::marjorampath::schema::EngineUsage>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineUsage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::EngineUsage> UsageReport::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineUsage>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UsageReport::Reader::getWantsStatus() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UsageReport::Builder::getWantsStatus() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UsageReport::Builder::setWantsStatus(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::marjorampath::schema::PeerMessage::Which PeerMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2532,6 +2752,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isUsageReport() const {
+  return which() == PeerMessage::USAGE_REPORT;
+}
+inline bool PeerMessage::Builder::isUsageReport() {
+  return which() == PeerMessage::USAGE_REPORT;
+}
+inline bool PeerMessage::Reader::hasUsageReport() const {
+  if (which() != PeerMessage::USAGE_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasUsageReport() {
+  if (which() != PeerMessage::USAGE_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::UsageReport::Reader PeerMessage::Reader::getUsageReport() const {
+  KJ_IREQUIRE((which() == PeerMessage::USAGE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::UsageReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::UsageReport::Builder PeerMessage::Builder::getUsageReport() {
+  KJ_IREQUIRE((which() == PeerMessage::USAGE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::UsageReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setUsageReport( ::marjorampath::schema::UsageReport::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::USAGE_REPORT);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::UsageReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::UsageReport::Builder PeerMessage::Builder::initUsageReport() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::USAGE_REPORT);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::UsageReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptUsageReport(
+    ::capnp::Orphan< ::marjorampath::schema::UsageReport>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::USAGE_REPORT);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::UsageReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::UsageReport> PeerMessage::Builder::disownUsageReport() {
+  KJ_IREQUIRE((which() == PeerMessage::USAGE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::UsageReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isEngineStatus() const {
+  return which() == PeerMessage::ENGINE_STATUS;
+}
+inline bool PeerMessage::Builder::isEngineStatus() {
+  return which() == PeerMessage::ENGINE_STATUS;
+}
+inline bool PeerMessage::Reader::hasEngineStatus() const {
+  if (which() != PeerMessage::ENGINE_STATUS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasEngineStatus() {
+  if (which() != PeerMessage::ENGINE_STATUS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::EngineStatus::Reader PeerMessage::Reader::getEngineStatus() const {
+  KJ_IREQUIRE((which() == PeerMessage::ENGINE_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::EngineStatus::Builder PeerMessage::Builder::getEngineStatus() {
+  KJ_IREQUIRE((which() == PeerMessage::ENGINE_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setEngineStatus( ::marjorampath::schema::EngineStatus::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ENGINE_STATUS);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::EngineStatus::Builder PeerMessage::Builder::initEngineStatus() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ENGINE_STATUS);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptEngineStatus(
+    ::capnp::Orphan< ::marjorampath::schema::EngineStatus>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::ENGINE_STATUS);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::EngineStatus> PeerMessage::Builder::disownEngineStatus() {
+  KJ_IREQUIRE((which() == PeerMessage::ENGINE_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::EngineStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -36,6 +36,9 @@
     duration retry_pause = std::chrono::milliseconds(800);
     /// Idle time up to which a connection carries a request that is not idempotent.
     duration fresh_idle = std::chrono::milliseconds(1'500);
+    /// Time that a lease holder's word on an engine is waited for: a few times the way to
+    /// another zone and back.
+    duration confirm_timeout = std::chrono::milliseconds(10);
 };
 
 /// What the exchanges of an entry host share.
@@ -61,11 +64,25 @@
     entry_metrics metrics;
     /// Asks an engine's lease holder for a load.
     std::function<void(load_wish const&)> ask_load;
+    /// Tells an engine's lease holder what this host has in flight there, and may ask for
+    /// the engine's status; whether one is to come.
+    std::function<bool(endpoint_id, bool)> report_usage;
     /// Hosts that share the bounds.
     std::function<std::size_t()> hosts;
     /// Timers of the exchanges that wait for an adapter, by its name.
     std::multimap<std::string, boost::asio::steady_timer*> awaiting;
 
+    /// Timers of the exchanges that wait for an engine's status.
+    std::multimap<endpoint_id, boost::asio::steady_timer*> confirming;
+
+    /// Wakes the exchanges that wait for an engine's status.
+    void wake(endpoint_id engine)
+    {
+        auto const [begin, end] = confirming.equal_range(engine);
+        for (auto each = begin; each != end; ++each)
+            each->second->cancel();
+    }
+
     /// Wakes the exchanges that wait for an adapter.
     void wake(std::string const& adapter)
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -70,6 +70,8 @@
     static constexpr unsigned max_foreign_answers = 2;
     // Sends of one request, those that were refused included
     static constexpr unsigned max_sends = 5;
+    // Questions for the state of engines; the last decision stands
+    static constexpr unsigned max_confirms = 2;
     // Looks at an adapter that is being loaded
     static constexpr unsigned max_waits = 30;
 
@@ -77,6 +79,8 @@
     boost::asio::awaitable<void> step();
     // Waits until the decision should be made again
     boost::asio::awaitable<void> await_adapter(dispatch_decision const& decision);
+    // Asks an engine's lease holder for its present state
+    boost::asio::awaitable<void> confirm(endpoint_id engine);
     // Sends the request to an endpoint and takes the answer
     boost::asio::awaitable<void> attempt(endpoint_announcement endpoint);
     // The part of an attempt that uses the connection
@@ -115,6 +119,13 @@
     // Whether an idempotent request should try a second endpoint before its time is over
     [[nodiscard]] bool second_endpoint_left() const;
 
+    // Tells the present engine's lease holder what this host has in flight there
+    void tell_usage()
+    {
+        if (!request_.asked.model.empty())
+            context_->report_usage(present_, false);
+    }
+
     // Whether the exchange was ended from outside
     [[nodiscard]] bool aborted() const
     {
@@ -149,12 +160,18 @@
     bool head_sent_ = false;
     // Whether the request is answered or given up
     bool over_ = false;
+    // When the last events of the present attempt were passed on
+    time_point passed_at_;
+    // Longest pause between two of them
+    duration longest_pause_{0};
     // Sends so far
     unsigned sends_ = 0;
     // Sends after which the request may have run
     unsigned runs_ = 0;
     // Waits for an adapter so far
     unsigned waits_ = 0;
+    // Questions for the state of engines so far
+    unsigned confirms_ = 0;
     // When the request was read
     time_point begin_;
     // An endpoint's failure that is given if nothing better comes
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -46,6 +46,12 @@
     }
     auto const now = boot_now();
     auto const decision = context_->dispatch.decide(request_.asked, tried_, now);
+    if (decision.confirm && confirms_ < max_confirms)
+    {
+        co_await confirm(decision.endpoint);
+        co_return;
+    }
+    confirms_ = 0;
     if (decision.load)
         context_->ask_load(*decision.load);
 
@@ -90,6 +96,22 @@
     context_->awaiting.erase(entry);
 }
 
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::confirm(endpoint_id engine)
+{
+    ++confirms_;
+    if (!context_->report_usage(engine, true))
+        co_return;
+    auto const entry = context_->confirming.emplace(engine, &timer_);
+    timer_.expires_after(context_->times.confirm_timeout);
+    control_->set_waiting([this] { timer_.cancel(); });
+    error_code ignored;
+    co_await timer_.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    control_->set_waiting(nullptr);
+    context_->confirming.erase(entry);
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<void>
 entry_exchange<Dialect>::attempt(endpoint_announcement endpoint)
@@ -110,10 +132,12 @@
             .record(std::chrono::duration<double>(boot_now() - begin_).count());
 
     begun_ = false;
+    longest_pause_ = {};
     limit_ = nullptr;
     present_ = endpoint.id;
     auto const attempt_id = context_->callers.next_request_id();
     context_->dispatch.on_sent(request_.asked, endpoint.id, boot_now());
+    tell_usage();
     context_->suspects.on_grant(attempt_id, request_.asked.fingerprint, endpoint.id);
     auto const end = co_await exchange(endpoint);
     lift_limit();
@@ -127,6 +151,7 @@
 
     auto const now = boot_now();
     context_->dispatch.on_ended(request_.asked, endpoint.id, end, begun_, now);
+    tell_usage();
     if (end == call_end::lost)
         context_->lost.add(attempt_id, now);
     else
@@ -134,7 +159,8 @@
     context_->metrics.count(attempts_metric, "end", to_string(end));
     log_event(event::attempt_ended, "request", request_.name, "endpoint", endpoint.name,
               "end", to_string(end), "begun", begun_, "events", events_.passed(),
-              "after_ms", (now - begin_).count() / 1'000'000);
+              "longest_pause_ms", longest_pause_.count() / 1'000'000, "after_ms",
+              (now - begin_).count() / 1'000'000);
     co_await on_end(endpoint, end);
 }
 
@@ -339,10 +365,15 @@
 entry_exchange<Dialect>::pass_events(answer_reader const& reader,
                                      std::string const& events)
 {
+    auto const now = boot_now();
+    if (begun_)
+        longest_pause_ = std::max(longest_pause_, now - passed_at_);
+    passed_at_ = now;
     if (!begun_)
     {
         begun_ = true;
         context_->dispatch.on_first_event(request_.asked, present_);
+        tell_usage();
     }
     if (!head_sent_)
     {
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -17,8 +17,10 @@
 
 // Time between two runs of the lease machines; they want one every 50 ms
 constexpr auto tick_interval = std::chrono::milliseconds(50);
-// Time for which a host's word that it holds a lease is believed: five beats
-constexpr duration holder_memory = std::chrono::milliseconds(1'000);
+// Time for which a host's word that it holds a lease is believed, at least
+constexpr duration shortest_holder_memory = std::chrono::milliseconds(1'000);
+// The same in beats
+constexpr int holder_memory_beats = 3;
 
 udp::endpoint to_udp(peer_address const& address)
 {
@@ -154,6 +156,20 @@
     events_.on_load_reply(reply);
 }
 
+void entry_fleet::take(usage_report const& report)
+{
+    events_.on_usage(report);
+    if (!report.wants_status)
+        return;
+    if (auto const status = events_.status_of(report.usage.endpoint))
+        send(*status, peer_address{sender_.address().to_v4().to_uint(), sender_.port()});
+}
+
+void entry_fleet::take(engine_status const& status)
+{
+    events_.on_status(status);
+}
+
 lease_reply entry_fleet::judge(lease_request const& request)
 {
     return witness_.on_request(boot_now(), request, peers_.incarnation(), duty_);
@@ -242,7 +258,9 @@
     if (holder_.may_order(resource_of(engine), boot_now()))
         return options_.self.host;
     auto const found = holders_.find(engine);
-    if (found == holders_.end() || boot_now() - found->second.at > holder_memory)
+    auto const memory =
+        std::max(shortest_holder_memory, peers_.beat_interval() * holder_memory_beats);
+    if (found == holders_.end() || boot_now() - found->second.at > memory)
         return {};
     return found->second.host;
 }
@@ -258,6 +276,15 @@
     send(request, holder);
 }
 
+bool entry_fleet::report_usage(usage_report const& report)
+{
+    auto const holder = holder_of(report.usage.endpoint);
+    if (!holder || holder == options_.self.host)
+        return false;
+    send(report, holder);
+    return true;
+}
+
 std::optional<std::uint64_t> entry_fleet::may_order(endpoint_id engine) const
 {
     return holder_.may_order(resource_of(engine), boot_now());
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -47,6 +47,12 @@
     std::function<load_reply(load_request const&)> on_load_request;
     /// Takes the answer to a load that this host asked for.
     std::function<void(load_reply const&)> on_load_reply;
+    /// Takes what another host has in flight at an engine.
+    std::function<void(usage_report const&)> on_usage;
+    /// The status of an engine whose lease this host holds, or nothing.
+    std::function<std::optional<engine_status>(endpoint_id)> status_of;
+    /// Takes the status of an engine from its lease holder.
+    std::function<void(engine_status const&)> on_status;
     /// This host holds an engine's lease; the flag tells that nobody else did since.
     std::function<void(endpoint_id, std::uint64_t, bool)> on_acquired;
     /// This host holds an engine's lease no longer.
@@ -71,6 +77,11 @@
     /// at all where a datagram is lost.
     void ask_load(load_request const& request);
 
+    /// Tells an engine's lease holder what this host has in flight there. Whether another
+    /// host holds the lease; a status that was asked for comes by `on_status`, or not at
+    /// all where a datagram is lost.
+    bool report_usage(usage_report const& report);
+
     /// Sends beats to all hosts at once, as when there is news.
     void beat();
 
@@ -119,6 +130,8 @@
     void take(lease_release const& release);
     void take(load_request const& request);
     void take(load_reply const& reply);
+    void take(usage_report const& report);
+    void take(engine_status const& status);
     // Runs the lease machines and beats
     void tick();
 
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -2,6 +2,7 @@
 
 #include <marjorampath/adapter_load/load_planner.hpp>
 #include <marjorampath/deployment/endpoint_catalog.hpp>
+#include <marjorampath/peer/relay_choice.hpp>
 #include <serving/caller/caller_listener.hpp>
 #include <serving/caller/caller_session.hpp>
 #include <serving/clock/boot_time.hpp>
@@ -20,6 +21,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <fmt/format.h>
+
+#include <charconv>
 #include <csignal>
 #include <functional>
 #include <map>
@@ -43,8 +47,9 @@
     std::chrono::milliseconds watch_wait{1'000};
     /// Pause behind a failed read.
     duration read_pause = std::chrono::milliseconds(300);
-    /// Age of the own listing beyond which a peer's is read.
-    duration relay_age = std::chrono::milliseconds(1'300);
+    /// Age of the own listing beyond which a peer's is read. With the times between reads
+    /// and beats, an endpoint's leave is known everywhere within 2.5 s.
+    duration relay_age = std::chrono::milliseconds(600);
     /// What a peer's listing in another zone counts as older: bytes between zones cost.
     duration other_zone_age = std::chrono::milliseconds(900);
     /// Time between two reports of an engine whose lease is held.
@@ -80,6 +85,8 @@
     void shut_down();
 
 private:
+    // Path of the relayed news of the operator; a revision follows
+    static constexpr std::string_view operator_relay = "/relay/operator?after=";
     // Largest view that is taken from a peer, in bytes: a megabyte of configuration and
     // thousands of versions
     static constexpr std::size_t max_relayed_bytes = 8'000'000;
@@ -127,6 +134,10 @@
     // Gives the orders that are due
     void give_orders();
     boost::asio::awaitable<void> give_order(planned_order order);
+    // Tells an engine's lease holder what this host has in flight there
+    bool report_usage(endpoint_id engine, bool wants_status);
+    // Takes the status of an engine that its lease holder was asked for
+    void on_status(engine_status const& status);
     // Tells the dispatcher about the engines of this host
     void publish_statuses();
 
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -62,8 +62,11 @@
                 context_.metrics.shard.number(loads_metric).add();
                 fleet_.ask_load({.endpoint = wish.endpoint, .adapter = wish.adapter});
             },
+            .report_usage = [this](endpoint_id engine, bool wants_status)
+            { return report_usage(engine, wants_status); },
             .hosts = [this] { return fleet_.peers().heard_hosts(boot_now()); },
-            .awaiting = {}};
+            .awaiting = {},
+            .confirming = {}};
 }
 
 template <entry_platform Platform>
@@ -100,6 +103,11 @@
         .on_load_request = [this](load_request const& request)
         { return on_load_request(request); },
         .on_load_reply = [this](load_reply const& reply) { on_load_reply(reply); },
+        .on_usage = [this](usage_report const& report)
+        { planner_.on_usage(report.host, report.usage, boot_now()); },
+        .status_of = [this](endpoint_id engine)
+        { return planner_.status_of(engine, boot_now()); },
+        .on_status = [this](engine_status const& status) { on_status(status); },
         .on_acquired = [this](endpoint_id engine, std::uint64_t number, bool continued)
         { planner_.on_lease(engine, number, continued, boot_now()); },
         .on_lost = [this](endpoint_id engine) { planner_.on_lease_lost(engine); }};
@@ -219,9 +227,12 @@
     {
         answer.body() = relayed_listing_;
     }
-    else if (path == "/relay/operator")
+    else if (path.starts_with(operator_relay))
     {
-        answer.body() = source_.relay_operator();
+        std::uint64_t after = 0;
+        std::from_chars(path.data() + operator_relay.size(), path.data() + path.size(),
+                        after);
+        answer.body() = source_.relay_operator(after);
     }
     else if (path == "/metrics")
     {
@@ -249,6 +260,7 @@
         next_relay_ = now + times_.read_pause;
         boost::asio::co_spawn(loop_, relay_view(), boost::asio::detached);
     }
+    context_.dispatch.set_status_interval(fleet_.peers().beat_interval());
     publish_statuses();
     give_orders();
     chore_timer_.expires_after(times_.chore_interval);
@@ -272,6 +284,32 @@
         context_.dispatch.on_status(status, now);
 }
 
+template <entry_platform Platform>
+bool entry_node<Platform>::report_usage(endpoint_id engine, bool wants_status)
+{
+    auto const now = boot_now();
+    if (!known_engines_.contains(engine))
+        return false;
+    auto usage = context_.dispatch.take_usage(engine, now);
+    if (!usage)
+        return false;
+    auto const self = host_id::of(settings_.host);
+    if (!planner_.holds(engine))
+        return fleet_.report_usage(
+            {.host = self, .usage = std::move(*usage), .wants_status = wants_status});
+    planner_.on_usage(self, *usage, now);
+    if (auto const status = planner_.status_of(engine, now))
+        context_.dispatch.on_status(*status, now);
+    return false;
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::on_status(engine_status const& status)
+{
+    context_.dispatch.on_status(status, boot_now());
+    context_.wake(status.endpoint);
+}
+
 template <entry_platform Platform>
 void entry_node<Platform>::read_reports()
 {
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -184,7 +184,11 @@
                                      .max_body_bytes = max_relayed_bytes};
     auto const fetched = co_await http_fetch(address, std::move(request), options);
     if (fetched.error || fetched.answer.result() != http::status::ok)
+    {
+        log_event(event::relay_failed, "peer", address.address().to_string(), "path",
+                  path, "error", fetched.error.message());
         co_return std::string();
+    }
     co_return fetched.answer.body();
 }
 
@@ -196,41 +200,27 @@
 
     auto const own_age =
         catalog_.listed_at() ? now - *catalog_.listed_at() : duration::max();
-    std::optional<peer_address> freshest;
-    std::optional<peer_address> newest;
-    auto newest_revision = source_.operator_revision();
-    auto freshest_age = duration::max();
-    for (auto const& [host, known] : fleet_.peers().peers())
-    {
-        if (!fleet_.peers().heard(host, now))
-            continue;
-        if (known.beat.operator_revision > newest_revision)
-        {
-            newest = known.beat.address;
-            newest_revision = known.beat.operator_revision;
-        }
-        auto age = known.beat.listing_age;
-        if (known.beat.zone != zone_id::of(settings_.zone))
-            age += times_.other_zone_age;
-        if (known.beat.listing_revision > catalog_.revision() && age < freshest_age)
-        {
-            freshest = known.beat.address;
-            freshest_age = age;
-        }
-    }
+    auto const choice = choose_relays(fleet_.peers(),
+                                      {.host = host_id::of(settings_.host),
+                                       .zone = zone_id::of(settings_.zone),
+                                       .operator_revision = source_.operator_revision(),
+                                       .listing_revision = catalog_.revision(),
+                                       .other_zone_age = times_.other_zone_age},
+                                      now);
     relaying_ = true;
-    if (newest)
+    if (choice.operator_news)
     {
-        std::string const path = "/relay/operator";
-        auto const relayed = co_await read_relay(*newest, path);
+        auto const path =
+            fmt::format("{}{}", operator_relay, source_.operator_revision());
+        auto const relayed = co_await read_relay(*choice.operator_news, path);
         auto const news = source_.read_relayed_operator(relayed);
         if (!news.error)
             take_news(news, "peer");
     }
-    if (freshest && own_age > times_.relay_age)
+    if (choice.listing && own_age > times_.relay_age)
     {
         std::string const path = "/relay/endpoints";
-        auto const relayed = co_await read_relay(*freshest, path);
+        auto const relayed = co_await read_relay(*choice.listing, path);
         auto listing = source_.read_relayed_endpoints(relayed);
         if (!listing.error)
         {
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -74,9 +74,10 @@
     {
         source.operator_revision()
         } -> std::same_as<std::uint64_t>;
-    // What the operator published, for another host, and its reading
+    // What the operator published, for another host that knows it up to a revision, and
+    // its reading
     {
-        source.relay_operator()
+        source.relay_operator(revision)
         } -> std::same_as<std::string>;
     {
         source.read_relayed_operator(relayed)
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -9,6 +9,9 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace marjorampath::schema
 {
 
@@ -55,6 +58,8 @@
     wire.setName(value.name);
     wire.setVersion(value.version);
     wire.setReadyIn(encode_duration(value.ready_in));
+    constexpr double largest = std::numeric_limits<std::uint16_t>::max();
+    wire.setRequests(static_cast<std::uint16_t>(std::min(value.requests, largest)));
 }
 
 void decode(AdapterStatus::Reader wire, adapter_status& value)
@@ -62,6 +67,7 @@
     value.name = wire.getName().cStr();
     value.version = wire.getVersion();
     value.ready_in = decode_duration(wire.getReadyIn());
+    value.requests = wire.getRequests();
 }
 
 void encode(engine_status const& value, EngineStatus::Builder wire)
@@ -191,6 +197,20 @@
     value.ready_in = decode_duration(wire.getReadyIn());
 }
 
+void encode(usage_report const& value, UsageReport::Builder wire)
+{
+    wire.setHost(value.host.number());
+    encode(value.usage, wire.initUsage());
+    wire.setWantsStatus(value.wants_status);
+}
+
+void decode(UsageReport::Reader wire, usage_report& value)
+{
+    decode(wire.getHost(), value.host);
+    decode(wire.getUsage(), value.usage);
+    value.wants_status = wire.getWantsStatus();
+}
+
 namespace
 {
 
@@ -223,6 +243,14 @@
     {
         encode(value, wire.initLoadReply());
     }
+    void operator()(usage_report const& value)
+    {
+        encode(value, wire.initUsageReport());
+    }
+    void operator()(engine_status const& value)
+    {
+        encode(value, wire.initEngineStatus());
+    }
 };
 
 template <class Message, class Reader>
@@ -249,6 +277,10 @@
         return decoded<load_request>(wire.getLoadRequest());
     case PeerMessage::LOAD_REPLY:
         return decoded<load_reply>(wire.getLoadReply());
+    case PeerMessage::USAGE_REPORT:
+        return decoded<usage_report>(wire.getUsageReport());
+    case PeerMessage::ENGINE_STATUS:
+        return decoded<engine_status>(wire.getEngineStatus());
     }
     KJ_FAIL_REQUIRE("unknown message");
 }
--- a/serving/entry/peer_codec.hpp
+++ b/serving/entry/peer_codec.hpp
@@ -5,6 +5,7 @@
 #include <marjorampath/lease/lease_request.hpp>
 #include <marjorampath/peer/load_messages.hpp>
 #include <marjorampath/peer/peer_beat.hpp>
+#include <marjorampath/peer/usage_report.hpp>
 
 #include <optional>
 #include <string>
@@ -16,7 +17,7 @@
 
 /// What entry hosts send each other.
 using peer_message = std::variant<peer_beat, lease_request, lease_reply, lease_release,
-                                  load_request, load_reply>;
+                                  load_request, load_reply, usage_report, engine_status>;
 
 /// A message as the bytes of one datagram: a Cap'n Proto message in packed form.
 std::string encode_peer_message(peer_message const& message);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -76,6 +76,9 @@
                 "A new version of an adapter was announced."},
     event_entry{view_relayed, info, "view_relayed",
                 "Another host's view of the platform's store was taken over."},
+    event_entry{relay_failed, warning, "relay_failed",
+                "Another host's view could not be read; it is tried again, there or "
+                "elsewhere."},
 
     event_entry{link_opened, info, "link_opened", "A connection to a host was opened."},
     event_entry{link_lost, warning, "link_lost",
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -43,6 +43,7 @@
     store_entry_ignored = 214,
     version_announced = 215,
     view_relayed = 216,
+    relay_failed = 217,
 
     link_opened = 300,
     link_lost = 301,
--- /dev/null
+++ b/tests/unit/peer/relay_choice_test.cpp
@@ -0,0 +1,106 @@
+#include <marjorampath/peer/peer_table.hpp>
+#include <marjorampath/peer/relay_choice.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace marjorampath;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t host_count = 91;
+constexpr std::uint32_t reader_count = 8;
+
+host_id host_of(std::uint32_t index)
+{
+    return host_id::of(fmt::format("host-{}", index));
+}
+
+peer_address address_of(std::uint32_t index)
+{
+    return {.address = 0x0a000000U + index, .port = 9};
+}
+
+// What one host knows after the readers have heard of a new configuration
+peer_table make_table(std::uint32_t self, time_point now)
+{
+    peer_table table({.host = host_of(self), .address = address_of(self)}, {}, {});
+    for (std::uint32_t index = 0; index < host_count; ++index)
+    {
+        auto const reader = index < reader_count;
+        table.on_beat({.host = host_of(index),
+                       .zone = zone_id::of("z"),
+                       .incarnation = 1,
+                       .address = address_of(index),
+                       .operator_revision = reader ? 20U : 10U,
+                       .listing_revision = reader ? 200U : 100U,
+                       .listing_age = reader ? duration(index * 20ms) : duration(2s)},
+                      now);
+    }
+    return table;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(relay_choices)
+
+BOOST_AUTO_TEST_CASE(hosts_ask_different_readers_for_the_same_news)
+{
+    time_point const now{1'000s};
+    std::map<peer_address, int> asked_news;
+    std::map<peer_address, int> asked_listing;
+    for (std::uint32_t self = reader_count; self < host_count; ++self)
+    {
+        auto const choice = choose_relays(make_table(self, now),
+                                          {.host = host_of(self),
+                                           .zone = zone_id::of("z"),
+                                           .operator_revision = 10,
+                                           .listing_revision = 100},
+                                          now);
+        BOOST_REQUIRE(choice.operator_news);
+        BOOST_REQUIRE(choice.listing);
+        ++asked_news[*choice.operator_news];
+        ++asked_listing[*choice.listing];
+    }
+    constexpr int mean = (host_count - reader_count) / reader_count;
+    for (auto const* asked : {&asked_news, &asked_listing})
+    {
+        BOOST_TEST(asked->size() == reader_count);
+        for (auto const& [address, count] : *asked)
+            BOOST_TEST(count <= 3 * mean);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nobody_is_asked_for_what_is_known_or_by_a_silent_host)
+{
+    time_point const now{1'000s};
+    auto const table = make_table(50, now);
+    relay_question const own{.host = host_of(50),
+                             .zone = zone_id::of("z"),
+                             .operator_revision = 20,
+                             .listing_revision = 200};
+    auto const known = choose_relays(table, own, now);
+    BOOST_TEST(!known.operator_news);
+    BOOST_TEST(!known.listing);
+
+    auto const silent =
+        choose_relays(table, {.host = host_of(50), .zone = zone_id::of("z")}, now + 10s);
+    BOOST_TEST(!silent.operator_news);
+    BOOST_TEST(!silent.listing);
+}
+
+BOOST_AUTO_TEST_CASE(beats_of_ninety_hosts_come_twice_a_second)
+{
+    time_point const now{1'000s};
+    auto const table = make_table(50, now);
+    BOOST_TEST((table.beat_interval() <= 520ms));
+    BOOST_TEST((table.beat_interval() >= 480ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
