Soak the entry node under faults, as processes before stand-ins

Change: marjorampath-soak runs five entry nodes, a store, engines and plain services as processes, with a proxy on each TCP link that delays, resets, silences and cuts one way; signals pause, kill, stop and restart them, in series and overlapping, by a seed. Checked from callers' answers and endpoints' records: own and whole answers, at most one run of unsafe requests, truthful refusals, right adapter and version, places, orders, leaving endpoints, exit codes, recovery and clean stops. Found by its first run: a content that many callers ask for is in flight at most crashes, and was convicted although it had finished thousands of times in between, by reports of hosts that had seen no answer yet. What crashes each endpoint never finishes, so a content that finished here is no suspect any more; a test that fails without it is in fleet_suspects.

--- a/marjorampath/suspect/suspect_registry.cpp
+++ b/marjorampath/suspect/suspect_registry.cpp
@@ -72,11 +72,11 @@
     suspects.erase(std::unique(suspects.begin(), suspects.end()), suspects.end());
     for (auto const& request : ended)
         on_end(request, false);
+
+    // What crashes each endpoint that runs it never finishes
+    std::erase_if(suspects, [&](auto const& each) { return proven_.contains(each); });
     for (auto const& fingerprint : suspects)
-    {
-        proven_.erase(fingerprint);
         add_crash(now, wall, fingerprint, crash);
-    }
     return suspects;
 }
 
@@ -97,6 +97,8 @@
     if (freed != releases_.end() && freed->second.expires > now &&
         other.crashed_at <= freed->second.at)
         return;
+    if (proven_.contains(other.fingerprint) && other.second_crash == 0)
+        return;
     if (!records_.contains(other.fingerprint) && records_.size() >= options_.max_records)
         return;
 
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,79 @@
+#include <tests/soak/soak_run.hpp>
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <unistd.h>
+
+using namespace marjorampath::test;
+
+namespace
+{
+
+// Runs one seed; whether all promises held
+bool run_seed(soak_options options, bool keep)
+{
+    auto const seed = options.schedule.seed;
+    options.fleet.folder = std::filesystem::temp_directory_path() /
+                           fmt::format("marjorampath-soak-{}-{}", ::getpid(), seed);
+    std::vector<std::string> breaches;
+    try
+    {
+        soak_run soak(options);
+        breaches = soak.run();
+        for (auto const& [status, count] : soak.statuses())
+            fmt::print("answers with status {}: {}\n", status, count);
+    }
+    catch (std::exception const& error)
+    {
+        breaches.emplace_back(error.what());
+    }
+    for (auto const& breach : breaches)
+        fmt::print("seed {}: {}\n", seed, breach);
+    fmt::print("seed {}: {}\n", seed, breaches.empty() ? "kept" : "BROKEN");
+    std::fflush(stdout);
+    if (breaches.empty() && !keep)
+        std::filesystem::remove_all(options.fleet.folder);
+    else
+        fmt::print("logs and records: {}\n", options.fleet.folder.string());
+    return breaches.empty();
+}
+
+} // namespace
+
+/// Randomized faults against entry nodes and stand-ins as processes of their own.
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Fault soak of the entry node", ' ', "0.1.0");
+    TCLAP::ValueArg<std::uint32_t> seed("", "seed", "First seed", false, 1, "number",
+                                        command);
+    TCLAP::ValueArg<std::uint32_t> count("", "count", "Number of seeds", false, 1,
+                                         "number", command);
+    TCLAP::ValueArg<int> seconds("", "seconds", "Span of the faults", false, 10,
+                                 "seconds", command);
+    TCLAP::ValueArg<std::size_t> nodes("", "nodes", "Entry nodes", false, 5, "number",
+                                       command);
+    TCLAP::ValueArg<std::size_t> engines("", "engines", "Engines", false, 4, "number",
+                                         command);
+    TCLAP::ValueArg<std::size_t> callers("", "callers", "Callers at each node", false, 4,
+                                         "number", command);
+    TCLAP::SwitchArg keep("", "keep", "Keep logs and records of kept seeds too", command);
+    command.parse(argc, argv);
+
+    // Lines are to be seen as they come, also in a file
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    bool kept = true;
+    for (std::uint32_t index = 0; index < count.getValue(); ++index)
+    {
+        soak_options options{
+            .schedule = {.seed = seed.getValue() + index,
+                         .span = std::chrono::seconds(seconds.getValue())},
+            .fleet = {.nodes = nodes.getValue(), .engines = engines.getValue()},
+            .callers = callers.getValue()};
+        kept = run_seed(options, keep.getValue()) && kept;
+    }
+    return kept ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_check.cpp
@@ -0,0 +1,160 @@
+#include <tests/soak/soak_check.hpp>
+
+#include <boost/json.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace marjorampath::test
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+// The platform's bound on how long an older version may be used (`version_ms`), and the
+// longest fault of a schedule, which may keep a node from the news
+constexpr std::int64_t version_slack_ms = 5'000 + 3'000;
+// The same for work to an endpoint that leaves (`contactMs`)
+constexpr std::int64_t leave_slack_ms = 4'000 + 3'000;
+// Age of a run that a lease holder must know of before it has the adapter unloaded:
+// several beats
+constexpr std::int64_t known_run_ms = 1'000;
+
+struct run
+{
+    std::string endpoint;
+    std::string adapter;
+    std::uint64_t version = 0;
+    std::int64_t at_ms = 0;
+};
+
+// Reads records and compares them with what callers saw
+class checker
+{
+public:
+    explicit checker(soak_evidence const& evidence) : evidence_(evidence) {}
+
+    std::vector<std::string> check()
+    {
+        for (auto const& line : evidence_.records)
+            read(json::parse(line).as_object());
+        for (auto const& request : evidence_.requests)
+            check(request);
+        check_orders();
+        return std::move(breaches_);
+    }
+
+private:
+    static std::string text(json::object const& line, char const* name)
+    {
+        auto const* found = line.if_contains(name);
+        return found ? std::string(found->as_string()) : std::string();
+    }
+
+    static std::int64_t number(json::object const& line, char const* name)
+    {
+        auto const* found = line.if_contains(name);
+        return found ? found->to_number<std::int64_t>() : 0;
+    }
+
+    void read(json::object const& line)
+    {
+        auto const event = text(line, "event");
+        auto const endpoint = text(line, "endpoint");
+        if (event == "run")
+            runs_[text(line, "attempt")].push_back(
+                {.endpoint = endpoint,
+                 .adapter = text(line, "adapter"),
+                 .version = static_cast<std::uint64_t>(number(line, "version")),
+                 .at_ms = number(line, "at_ms")});
+        else if (event == "order")
+            orders_[endpoint].emplace_back(number(line, "at_ms"), number(line, "token"),
+                                           text(line, "holder"));
+        else if (event == "overfull")
+            breach("{} was ordered more adapters than it has places for", endpoint);
+        else if (event == "unload_in_use" && number(line, "age_ms") >= known_run_ms)
+            breach("{} was told to unload {} in use for {} ms", endpoint,
+                   text(line, "adapter"), number(line, "age_ms"));
+    }
+
+    void check(soak_request const& request)
+    {
+        auto const found = runs_.find(request.attempt);
+        auto const runs = found == runs_.end() ? std::vector<run>() : found->second;
+        constexpr std::array not_run{408U, 421U, 429U, 503U};
+        auto const promised =
+            std::find(not_run.begin(), not_run.end(), request.status) != not_run.end();
+        if (request.status == 200 && request.ended && !request.right)
+            breach("{} got a whole answer that is not its own", request.attempt);
+        if (promised && !runs.empty())
+            breach("{} was called not run with {} but ran at {}", request.attempt,
+                   request.status, runs.front().endpoint);
+        if (request.kind == soak_kind::unsafe && runs.size() > 1)
+            breach("{} ran {} times", request.attempt, runs.size());
+        for (auto const& each : runs)
+            check(request, each);
+    }
+
+    void check(soak_request const& request, run const& each)
+    {
+        if (each.adapter != request.adapter)
+            breach("{} asked for {} and ran with {}", request.attempt, request.adapter,
+                   each.adapter);
+        for (auto const& announced : evidence_.versions)
+            if (announced.adapter == request.adapter &&
+                announced.at_ms + version_slack_ms < each.at_ms &&
+                each.version < announced.version)
+                breach("{} ran with version {} of {}, {} ms after {}", request.attempt,
+                       each.version, request.adapter, each.at_ms - announced.at_ms,
+                       announced.version);
+        for (auto const& leave : evidence_.leaves)
+            if (leave.endpoint == each.endpoint &&
+                leave.at_ms + leave_slack_ms < each.at_ms)
+                breach("{} went to {}, {} ms after it announced its leave",
+                       request.attempt, each.endpoint, each.at_ms - leave.at_ms);
+    }
+
+    void check_orders()
+    {
+        for (auto& [endpoint, orders] : orders_)
+        {
+            for (std::size_t index = 1; index < orders.size(); ++index)
+            {
+                auto const& [before_ms, before, holder_before] = orders[index - 1];
+                auto const& [at_ms, token, holder] = orders[index];
+                if (token < before || (token == before && holder != holder_before))
+                    breach("{} got an order of {} with {} behind one of {} with {}",
+                           endpoint, holder, token, holder_before, before);
+            }
+        }
+    }
+
+    template <class... Values>
+    void breach(fmt::format_string<Values...> format, Values&&... values)
+    {
+        breaches_.push_back(fmt::format(format, std::forward<Values>(values)...));
+    }
+
+    soak_evidence const& evidence_;
+    std::vector<std::string> breaches_;
+    // Runs by attempt
+    std::map<std::string, std::vector<run>> runs_;
+    // Orders by endpoint: time, token and holder
+    std::map<std::string,
+             std::vector<std::tuple<std::int64_t, std::int64_t, std::string>>>
+        orders_;
+};
+
+} // namespace
+
+std::vector<std::string> check_promises(soak_evidence const& evidence)
+{
+    return checker(evidence).check();
+}
+
+} // namespace marjorampath::test
--- /dev/null
+++ b/tests/soak/soak_check.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <tests/soak/soak_request.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace marjorampath::test
+{
+
+/// A version of an adapter that the operator announced.
+struct announced_version
+{
+    /// Adapter.
+    std::string adapter;
+    /// Version.
+    std::uint64_t version = 0;
+    /// When the store took it, in milliseconds of the machine's monotonic clock.
+    std::int64_t at_ms = 0;
+};
+
+/// An endpoint that announced that it leaves.
+struct announced_leave
+{
+    /// Name of the endpoint's process in the store.
+    std::string endpoint;
+    /// When it was told.
+    std::int64_t at_ms = 0;
+};
+
+/// Everything that the promises are checked against.
+struct soak_evidence
+{
+    /// What callers saw.
+    std::vector<soak_request> requests;
+    /// Records of all endpoints, one JSON object each.
+    std::vector<std::string> records;
+    /// Versions in the order of their announcement.
+    std::vector<announced_version> versions;
+    /// Leaves.
+    std::vector<announced_leave> leaves;
+};
+
+/// Every breach of a promise, one line each.
+std::vector<std::string> check_promises(soak_evidence const& evidence);
+
+} // namespace marjorampath::test
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,217 @@
+#include <tests/process/test_client.hpp>
+#include <tests/soak/soak_fleet.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <platform/standin/operator_documents.hpp>
+#include <stdexcept>
+
+namespace marjorampath::test
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using tcp = asio::ip::tcp;
+
+constexpr std::string_view readiness_path = "/api/readyz";
+constexpr std::array<std::string_view, 2> zones{"zone-a", "zone-b"};
+
+// Loopback address of the first node; each node has one of its own, since nodes take the
+// ports of others to be their own
+constexpr std::uint32_t first_node_address = 0x7f000a01;
+
+// A port that nothing listens at now
+std::uint16_t free_port()
+{
+    asio::io_context context;
+    tcp::acceptor const acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+std::string text_of(tcp::endpoint const& address)
+{
+    return fmt::format("{}:{}", address.address().to_string(), address.port());
+}
+
+} // namespace
+
+soak_fleet::soak_fleet(asio::io_context& context, options const& values)
+    : context_(context), options_(values)
+{
+    std::filesystem::create_directories(options_.folder);
+    store = std::make_unique<child_process>("marjorampath-standin",
+                                            std::vector<std::string>{"users-store"},
+                                            (options_.folder / "store.log").string());
+    publish_configuration();
+    endpoints.resize(options_.engines + options_.services);
+    for (std::size_t index = 0; index < endpoints.size(); ++index)
+    {
+        endpoints[index].engine = index < options_.engines;
+        endpoints[index].link = std::make_unique<fault_proxy>(context_, tcp::endpoint());
+        start_endpoint(index);
+    }
+    nodes.resize(options_.nodes);
+    for (auto& port : ports_)
+        port = free_port();
+    for (std::size_t index = 0; index < nodes.size(); ++index)
+        prepare_node(index);
+    write_settings();
+    for (std::size_t index = 0; index < nodes.size(); ++index)
+        start_node(index);
+}
+
+void soak_fleet::prepare_node(std::size_t index)
+{
+    auto& node = nodes[index];
+    node.settings = (options_.folder / fmt::format("node-{}.yaml", index)).string();
+    asio::ip::address_v4 const address(first_node_address +
+                                       static_cast<std::uint32_t>(index));
+    node.readiness = {address, ports_[0]};
+    callers_.emplace_back(address, ports_[1]);
+    relays_.push_back(text_of({address, ports_[2]}));
+    peers_.push_back(text_of({address, ports_[3]}));
+    node.callers = std::make_unique<fault_proxy>(context_, callers_.back());
+    node.store = std::make_unique<fault_proxy>(context_, store->address());
+}
+
+void soak_fleet::write_settings() const
+{
+    for (std::size_t index = 0; index < nodes.size(); ++index)
+        std::ofstream(nodes[index].settings) << fmt::format(
+            "host: \"node-{}\"\nzone: \"{}\"\ncallers: \"{}\"\n"
+            "readiness: \"{}\"\nreadiness_path: \"{}\"\nrelay: \"{}\"\n"
+            "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
+            "grace_s: 8\n",
+            index, zones.at(index % zones.size()), text_of(callers_[index]),
+            text_of(nodes[index].readiness), readiness_path, relays_[index],
+            peers_[index], fmt::join(relays_, "\", \""),
+            text_of(nodes[index].store->address()));
+}
+
+std::string soak_fleet::endpoint_name(std::size_t index) const
+{
+    return fmt::format("{}-{}-{}", endpoints[index].engine ? "engine" : "service", index,
+                       endpoints[index].started);
+}
+
+void soak_fleet::start_endpoint(std::size_t index)
+{
+    platform::operator_choices const choices;
+    auto& place = endpoints[index];
+    ++place.started;
+    auto const name = endpoint_name(index);
+    std::vector<std::string> arguments{"users-endpoint",
+                                       "--id",
+                                       name,
+                                       "--service",
+                                       place.engine ? choices.model_service
+                                                    : choices.plain_service,
+                                       "--zone",
+                                       std::string(zones.at(index % zones.size())),
+                                       "--store",
+                                       store->address_text(),
+                                       "--records",
+                                       (options_.folder / (name + ".records")).string()};
+    if (place.engine)
+        arguments.insert(arguments.end(), {"--model", choices.model_service});
+    place.process = std::make_unique<child_process>(
+        "marjorampath-standin", arguments, (options_.folder / (name + ".log")).string());
+    place.link->set_target(place.process->address());
+    auto const body = boost::json::serialize(
+        boost::json::object{{"address", text_of(place.link->address())}});
+    call(place.process->address(), "POST", "/standin/set", body);
+}
+
+void soak_fleet::start_node(std::size_t index)
+{
+    nodes[index].process = std::make_unique<child_process>(
+        "marjorampath-entry",
+        std::vector<std::string>{"--settings", nodes[index].settings},
+        (options_.folder / fmt::format("node-{}.log", index)).string(), callers_[index]);
+}
+
+void soak_fleet::drain_endpoint(std::size_t index)
+{
+    call(endpoints[index].process->address(), "POST", "/standin/set",
+         "{\"draining\": true}");
+}
+
+void soak_fleet::put(std::string const& key, std::string const& value) const
+{
+    auto const answer = call(store->address(), "PUT", "/standin/put?key=" + key, value);
+    if (answer.status != 200)
+        throw std::runtime_error("the store did not take " + key);
+}
+
+std::uint64_t soak_fleet::announce_version(std::string const& adapter)
+{
+    platform::operator_choices const choices;
+    auto& version = versions_.try_emplace(adapter, 1).first->second;
+    ++version;
+    put(platform::version_key(choices.model_service, adapter),
+        platform::version_document(choices.model_service, adapter, version));
+    return version;
+}
+
+void soak_fleet::publish_configuration()
+{
+    put(platform::configuration_key(),
+        platform::configuration_document({.version = ++configuration_}));
+}
+
+bool soak_fleet::is_ready(std::size_t index) const
+{
+    return call(nodes[index].readiness, "GET", readiness_path).status == 200;
+}
+
+std::vector<std::pair<std::string, fault_proxy*>> soak_fleet::links()
+{
+    std::vector<std::pair<std::string, fault_proxy*>> all;
+    for (std::size_t index = 0; index < nodes.size(); ++index)
+    {
+        all.emplace_back(fmt::format("callers of node {}", index),
+                         nodes[index].callers.get());
+        all.emplace_back(fmt::format("store of node {}", index),
+                         nodes[index].store.get());
+    }
+    for (std::size_t index = 0; index < endpoints.size(); ++index)
+        all.emplace_back(fmt::format("endpoint {}", index), endpoints[index].link.get());
+    return all;
+}
+
+void soak_fleet::heal()
+{
+    for (auto const& [name, link] : links())
+        link->set_state(link_state::open);
+    store->signal(SIGCONT);
+    for (auto const& node : nodes)
+        node.process->signal(SIGCONT);
+    for (auto const& endpoint : endpoints)
+        endpoint.process->signal(SIGCONT);
+}
+
+std::vector<std::string> soak_fleet::records() const
+{
+    std::vector<std::string> lines;
+    for (auto const& file : std::filesystem::directory_iterator(options_.folder))
+    {
+        if (file.path().extension() != ".records")
+            continue;
+        std::ifstream stream(file.path());
+        for (std::string line; std::getline(stream, line);)
+            lines.push_back(line);
+    }
+    return lines;
+}
+
+} // namespace marjorampath::test
--- a/tests/unit/fleet/suspect_test.cpp
+++ b/tests/unit/fleet/suspect_test.cpp
@@ -42,6 +42,29 @@
     BOOST_TEST((registry.judge(at(2h), poison) == suspicion::none));
 }
 
+// A popular content is in flight at most crashes
+BOOST_AUTO_TEST_CASE(a_content_that_has_finished_is_not_suspected)
+{
+    suspect_registry here({});
+    suspect_registry there({});
+    here.on_grant(request_id(1), innocent, second);
+    here.on_end(request_id(1), true);
+    std::uint64_t request = 1;
+    for (std::uint64_t crash = 1; crash <= 5; ++crash)
+    {
+        here.on_grant(request_id(++request), innocent, first);
+        BOOST_TEST(
+            here.on_crash(at(crash * 1s), wall + crash * 1s, first, crash).empty());
+        BOOST_TEST((here.judge(at(crash * 1s), innocent) == suspicion::none));
+    }
+
+    // Nor where another host, which has seen no answer yet, tells of a crash
+    there.on_grant(request_id(++request), innocent, first);
+    there.on_crash(at(9s), wall + 9s, first, 9);
+    here.merge(at(9s), there.convictions(at(9s)).front());
+    BOOST_TEST((here.judge(at(9s), innocent) == suspicion::none));
+}
+
 BOOST_AUTO_TEST_CASE(an_unproven_content_runs_at_most_twice_at_a_time)
 {
     suspect_registry registry({});
