Ask the lease holder before a refusal too; split the decision about engines

Cause: a request could be refused for a queue that a report of half a second ago showed. The decision about engines had grown to eighty lines. Change: a refusal by an old report is confirmed first, like a send; rating engines, choosing among equals and asking for a further copy are functions. Result: a_request_is_not_refused_by_an_old_report fails without the change; all unit tests pass.

--- a/marjorampath/dispatch/dispatcher.hpp
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -109,6 +109,15 @@
         }
     };
 
+    // Engines for a request to a model
+    struct model_choice
+    {
+        // The best of those that hold its adapter, or will; not set without any
+        std::optional<candidate> best;
+        // Those that do not
+        std::vector<candidate> absent;
+    };
+
     // Endpoints that may get a request of the service
     std::vector<candidate> usable(call const& request, std::span<endpoint_id const> tried,
                                   time_point now);
@@ -117,6 +126,15 @@
     dispatch_decision decide_plain(call const& request, std::vector<candidate> found,
                                    time_point now);
 
+    // Whether the left one is to be chosen
+    [[nodiscard]] static bool better(call const& request, candidate const& left,
+                                     candidate const& right);
+    // Rates engines and tells those apart that lack the adapter
+    model_choice rate_engines(call const& request, std::vector<candidate> found,
+                              time_point now) const;
+    // A load at another engine, where it shortens the wait of those who follow
+    std::optional<load_wish> further_copy(call const& request, candidate const& best,
+                                          candidate const* target, time_point now);
     // Decides about a request to a model service
     dispatch_decision decide_model(call const& request, std::vector<candidate> found,
                                    time_point now);
--- a/marjorampath/dispatch/dispatcher_decide.cpp
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -95,23 +95,26 @@
             .expected = best->expected};
 }
 
-dispatch_decision dispatcher::decide_model(call const& request,
-                                           std::vector<candidate> found, time_point now)
+bool dispatcher::better(call const& request, candidate const& left,
+                        candidate const& right)
+{
+    if (left.cost() != right.cost())
+        return left.cost() < right.cost();
+
+    // Hosts with the same reports must not choose the same one of equals
+    return rendezvous_weight(request.id, left.load->announced.id) >
+           rendezvous_weight(request.id, right.load->announced.id);
+}
+
+dispatcher::model_choice dispatcher::rate_engines(call const& request,
+                                                  std::vector<candidate> found,
+                                                  time_point now) const
 {
     auto const cache_tokens =
         cache_fill * static_cast<double>(engines_.at(request.service).cache_tokens);
     auto const needed = request.prompt_tokens + request.output_tokens;
-    candidate const* best = nullptr;
-    std::vector<candidate> absent;
-
-    // Hosts with the same reports must not choose the same one of equals
-    auto const better = [&](candidate const& left, candidate const& right)
-    {
-        if (left.cost() != right.cost())
-            return left.cost() < right.cost();
-        return rendezvous_weight(request.id, left.load->announced.id) >
-               rendezvous_weight(request.id, right.load->announced.id);
-    };
+    auto const required = required_version(request.adapter);
+    model_choice choice;
     for (auto& each : found)
     {
         auto const& load = *each.load;
@@ -123,63 +126,78 @@
         each.crowding = crowding(backlog);
         if (static_cast<double>(load.tokens + load.others_tokens + needed) > cache_tokens)
             each.expected += cache_wait;
-        if (request.adapter.empty())
-        {
-            if (!best || better(each, *best))
-                best = &each;
-            continue;
-        }
         auto const* held = belief(load, request.adapter);
-        auto const required = required_version(request.adapter);
-        if (!held || (held->version != 0 && held->version < required))
+        if (!request.adapter.empty() &&
+            (!held || (held->version != 0 && held->version < required)))
         {
-            absent.push_back(each);
+            choice.absent.push_back(each);
             continue;
         }
-        if (held->ready_at > now)
+        if (held && held->ready_at > now)
             each.expected += held->ready_at - now;
-        if (!best || better(each, *best))
-            best = &each;
+        if (!choice.best || better(request, each, *choice.best))
+            choice.best = each;
     }
+    return choice;
+}
 
-    auto const* target =
-        request.adapter.empty() ? nullptr : load_target(request.adapter, absent, now);
-    if (!best)
+std::optional<load_wish> dispatcher::further_copy(call const& request,
+                                                  candidate const& best,
+                                                  candidate const* target, time_point now)
+{
+    if (!target || is_coming(request, now))
+        return std::nullopt;
+
+    // It pays where the queue at the present copies is long, and earlier for an adapter
+    // that many ask for
+    auto const* held = belief(*best.load, request.adapter);
+    auto const popular = held && held->requests >= options_.popular_requests;
+    auto const there = popular ? best.cost() : best.expected;
+    if (there <= options_.adapter_load_time + target->expected + options_.copy_gain)
+        return std::nullopt;
+    target->load->asked_loads[request.adapter].answer_until =
+        now + options_.load_answer_timeout;
+    return load_wish{target->load->announced.id, request.adapter};
+}
+
+dispatch_decision dispatcher::decide_model(call const& request,
+                                           std::vector<candidate> found, time_point now)
+{
+    auto const choice = rate_engines(request, std::move(found), now);
+    auto const* target = request.adapter.empty()
+                             ? nullptr
+                             : load_target(request.adapter, choice.absent, now);
+    if (!choice.best)
         return wait_for_load(request, target, now);
 
+    auto const& best = *choice.best;
+    auto const& load = *best.load;
+    dispatch_decision decision{.act = dispatch_act::send,
+                               .endpoint = load.announced.id,
+                               .expected = best.expected,
+                               .confirm = now - load.reported_at > options_.fresh_status};
     auto const left = request.deadline - now;
     auto const longest = scaled(request.objective, options_.longest_wait);
-    if (best->expected > std::min(left, longest))
-        return refuse(error_kind::deadline_unreachable,
-                      best->expected - std::min(best->expected, request.objective / 2));
-
-    auto const confirm = now - best->load->reported_at > options_.fresh_status;
+    if (best.expected > std::min(left, longest))
+    {
+        auto refusal =
+            refuse(error_kind::deadline_unreachable,
+                   best.expected - std::min(best.expected, request.objective / 2));
+        refusal.endpoint = decision.endpoint;
+        refusal.confirm = decision.confirm;
+        return refusal;
+    }
+    if (!decision.confirm)
+        decision.load = further_copy(request, best, target, now);
 
-    // A further copy pays where the queue at the present ones is long, and earlier for an
-    // adapter that many ask for
-    std::optional<load_wish> wish;
-    auto const& load = *best->load;
     auto const* held = belief(load, request.adapter);
-    auto const popular = held && held->requests >= options_.popular_requests;
-    if (target && !confirm && !is_coming(request, now) &&
-        (popular ? best->cost() : best->expected) >
-            options_.adapter_load_time + target->expected + options_.copy_gain)
-        wish = load_wish{target->load->announced.id, request.adapter};
-    if (wish)
-        target->load->asked_loads[request.adapter].answer_until =
-            now + options_.load_answer_timeout;
-
     if (held && held->ready_at > now)
-        return {.act = dispatch_act::wait,
-                .endpoint = load.announced.id,
-                .expected = best->expected,
-                .load = wish,
-                .recheck = std::min(held->ready_at, now + longest_look)};
-    return {.act = dispatch_act::send,
-            .endpoint = load.announced.id,
-            .expected = best->expected,
-            .load = wish,
-            .confirm = confirm};
+    {
+        decision.act = dispatch_act::wait;
+        decision.confirm = false;
+        decision.recheck = std::min(held->ready_at, now + longest_look);
+    }
+    return decision;
 }
 
 dispatcher::candidate const* dispatcher::load_target(std::string const& adapter,
--- a/tests/unit/dispatch/fresh_status_test.cpp
+++ b/tests/unit/dispatch/fresh_status_test.cpp
@@ -100,6 +100,21 @@
     BOOST_TEST((again.endpoint != old.endpoint));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_not_refused_by_an_old_report)
+{
+    // Twenty prompts waited 0.4 s ago
+    time_point const now{1'000s};
+    auto dispatch = make_dispatcher(1, 1, now);
+    dispatch.on_status(status(0, 20 * std::uint64_t{prompt_tokens}), now);
+    auto const old = dispatch.decide(request(1, now), {}, now + 400ms);
+    BOOST_TEST((old.act == dispatch_act::refuse));
+    BOOST_TEST(old.confirm);
+    BOOST_TEST((old.endpoint == engine(0)));
+    dispatch.on_status(status(0), now + 400ms);
+    auto const confirmed = dispatch.decide(request(1, now), {}, now + 401ms);
+    BOOST_TEST((confirmed.act == dispatch_act::send));
+}
+
 BOOST_AUTO_TEST_CASE(hosts_that_confirm_spread_a_burst_evenly)
 {
     // Ninety hosts get one request each within 90 ms, all with reports 0.4 s old
