Hold signals back until they are handled

Asio's handlers stand only once the node runs, and reading settings and starting take a while on a slow host. The soak signals a node once it holds or handles the signal: before main runs nothing can be done about it.

--- a/programs/marjorampath-entry/main.cpp
+++ b/programs/marjorampath-entry/main.cpp
@@ -1,6 +1,7 @@
 #include <programs/marjorampathctl/exit_code.hpp>
 #include <serving/entry/entry_node.hpp>
 #include <serving/entry/entry_settings.hpp>
+#include <serving/node/held_signals.hpp>
 #include <serving/telemetry/log.hpp>
 
 #include <fmt/format.h>
@@ -52,6 +53,7 @@
 /// The entry node on the users' platform.
 int main(int argc, char** argv)
 {
+    hold_signals();
     TCLAP::CmdLine command("Entry node of marjorampath on the users' platform", ' ',
                            "0.1.0");
     TCLAP::ValueArg<std::string> file("s", "settings", "YAML file with the settings",
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -1,3 +1,4 @@
+#include <serving/node/held_signals.hpp>
 #include <serving/node/node.hpp>
 #include <serving/telemetry/log.hpp>
 
@@ -161,6 +162,7 @@
 void node::run()
 {
     watch_signals();
+    release_signals();
     asio::co_spawn(control_, sheet_source_.run(), asio::detached);
     asio::co_spawn(control_, read_host_list(), asio::detached);
     for (auto const& worker : workers_)
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -132,6 +132,19 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool child_process::minds(int number) const
+{
+    std::ifstream file(fmt::format("/proc/{}/status", pid_));
+    std::uint64_t minded = 0;
+    for (std::string word; file >> word;)
+    {
+        std::uint64_t mask = 0;
+        if ((word == "SigBlk:" || word == "SigCgt:") && file >> std::hex >> mask)
+            minded |= mask;
+    }
+    return (minded >> (number - 1) & 1U) != 0;
+}
+
 std::size_t child_process::resident_bytes() const
 {
     std::ifstream file(fmt::format("/proc/{}/statm", pid_));
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -57,6 +57,10 @@
     /// Sends a signal.
     void signal(int number);
 
+    /// Whether it has come so far that a signal does not end it by default: it handles
+    /// the signal or holds it back.
+    [[nodiscard]] bool minds(int number) const;
+
     /// The status that it has to end with: 0, or -1 where it was killed.
     [[nodiscard]] int expected_status() const noexcept
     {
