Bound what beats tell of suspects

When engines with hundreds of requests die, each of these contents is a suspect for ten minutes, and every host repeated all suspects that it had heard of in every beat: up to 4,096 of 40 bytes, more than a datagram holds, so that beats failed and hosts lost each other. Change: a host tells of the suspects whose crash it saw itself, for 5 s, and of convictions; 24 at most, convictions first. Result: what_is_told_stays_small_when_busy_engines_die fails without the change (576 told).

--- a/marjorampath/suspect/suspect_registry.cpp
+++ b/marjorampath/suspect/suspect_registry.cpp
@@ -89,6 +89,9 @@
     added.crashed_at = wall;
     added.remaining = options_.suspicion;
     merge(now, added);
+    auto const found = records_.find(fingerprint);
+    if (found != records_.end())
+        found->second.told_until = now + options_.telling;
 }
 
 void suspect_registry::merge(time_point now, conviction const& other)
@@ -142,7 +145,8 @@
     std::vector<conviction> found;
     for (auto const& [fingerprint, record] : records_)
     {
-        if (record.expires <= now)
+        auto const convicted = record.known.second_crash != 0;
+        if (record.expires <= now || (!convicted && record.told_until <= now))
             continue;
         found.push_back(record.known);
         found.back().remaining = record.expires - now;
@@ -150,10 +154,14 @@
     std::sort(found.begin(), found.end(),
               [](auto const& left, auto const& right)
               {
+                  if ((left.second_crash != 0) != (right.second_crash != 0))
+                      return left.second_crash != 0;
                   return left.crashed_at != right.crashed_at
                              ? left.crashed_at > right.crashed_at
                              : left.fingerprint < right.fingerprint;
               });
+    if (found.size() > options_.max_told)
+        found.resize(options_.max_told);
     return found;
 }
 
--- a/marjorampath/suspect/suspect_registry.hpp
+++ b/marjorampath/suspect/suspect_registry.hpp
@@ -22,6 +22,12 @@
     duration suspicion = std::chrono::minutes(10);
     /// Time for which a conviction is in force.
     duration conviction = std::chrono::hours(1);
+    /// Time for which the host that saw a crash tells of its suspects: a dozen messages
+    /// to each host. Convictions are told for as long as they are in force.
+    duration telling = std::chrono::seconds(5);
+    /// Suspects and convictions that are told at a time, so that a message stays small
+    /// when engines with many requests die: about a kilobyte.
+    std::size_t max_told = 24;
     /// Time for which an operator's release is remembered and spread.
     duration release = std::chrono::hours(1);
     /// Number of requests of equal content that run at a time until one of them finished.
@@ -74,7 +80,8 @@
     /// Takes an operator's release, from here or from another host.
     void release(time_point now, conviction_release const& order);
 
-    /// The suspects and convictions to spread, the latest crash first.
+    /// The suspects and convictions to spread: convictions first, then the suspects of
+    /// the crashes that this host saw lately, the latest crash first; a bounded number.
     [[nodiscard]] std::vector<conviction> convictions(time_point now) const;
 
     /// The releases to spread.
@@ -90,6 +97,8 @@
         conviction known;
         // Time at which it expires
         time_point expires;
+        // Until when this host tells of it as a suspect; not set where another one saw it
+        time_point told_until;
     };
 
     struct released
--- a/tests/unit/fleet/suspect_test.cpp
+++ b/tests/unit/fleet/suspect_test.cpp
@@ -65,6 +65,35 @@
     BOOST_TEST((here.judge(at(9s), innocent) == suspicion::none));
 }
 
+// The load pattern: engines with hundreds of requests die. What is told of it travels in
+// every beat of every host.
+BOOST_AUTO_TEST_CASE(what_is_told_stays_small_when_busy_engines_die)
+{
+    constexpr std::uint64_t in_flight = 576;
+    suspect_options const options;
+    suspect_registry here(options);
+    suspect_registry there(options);
+    for (std::uint64_t request = 1; request <= in_flight; ++request)
+        here.on_grant(request_id(request), fingerprint_id(request), first);
+    here.on_crash(at(0s), wall, first, 1);
+    auto const told = here.convictions(at(1s));
+    BOOST_TEST(told.size() == options.max_told);
+
+    // Who only heard of it does not repeat it, and it is told for a while only
+    for (auto const& each : told)
+        there.merge(at(1s), each);
+    BOOST_TEST(there.convictions(at(1s)).empty());
+    BOOST_TEST((there.judge(at(1s), told.front().fingerprint) == suspicion::alone));
+    BOOST_TEST(here.convictions(at(1s + options.telling)).empty());
+
+    // A conviction is told first, by everyone, for as long as it is in force
+    there.on_grant(request_id(in_flight + 1), told.front().fingerprint, second);
+    there.on_crash(at(2s), wall + 2s, second, 1);
+    here.merge(at(2s), there.convictions(at(2s)).front());
+    BOOST_REQUIRE(!here.convictions(at(60s)).empty());
+    BOOST_TEST(here.convictions(at(60s)).front().second_crash != 0U);
+}
+
 BOOST_AUTO_TEST_CASE(an_unproven_content_runs_at_most_twice_at_a_time)
 {
     suspect_registry registry({});
