--- a/marjorampath/peer/relay_choice.cpp
+++ b/marjorampath/peer/relay_choice.cpp
@@ -3,6 +3,8 @@
 #include <marjorampath/peer/relay_choice.hpp>
 
 #include <algorithm>
+#include <span>
+#include <vector>
 
 namespace marjorampath
 {
@@ -14,57 +16,53 @@
 // two reads of the store
 constexpr duration same_age = std::chrono::milliseconds(400);
 
-// One that every host may be asked by as probably as any other
-std::uint64_t weight(relay_question const& own, host_id peer)
-{
-    return rendezvous_weight(own.host, peer);
-}
-
 duration age_of(peer_beat const& beat, relay_question const& own)
 {
     return beat.zone == own.zone ? beat.listing_age
                                  : beat.listing_age + own.other_zone_age;
 }
 
+// The address of the one of some hosts that this host asks
+std::optional<peer_address> choose(peer_table const& peers, relay_question const& own,
+                                   std::vector<host_id> const& candidates)
+{
+    auto const chosen = rendezvous_choice(own.host, std::span<host_id const>(candidates));
+    if (!chosen)
+        return std::nullopt;
+    return peers.peers().at(chosen).beat.address;
+}
+
 } // namespace
 
 relay_choice choose_relays(peer_table const& peers, relay_question const& own,
                            time_point now)
 {
+    std::vector<peer_beat const*> heard;
+    for (auto const& [host, known] : peers.peers())
+        if (peers.heard(host, now))
+            heard.push_back(&known.beat);
+
     auto newest = own.operator_revision;
     auto youngest = duration::max();
-    for (auto const& [host, known] : peers.peers())
+    for (auto const* beat : heard)
     {
-        if (!peers.heard(host, now))
-            continue;
-        newest = std::max(newest, known.beat.operator_revision);
-        if (known.beat.listing_revision > own.listing_revision)
-            youngest = std::min(youngest, age_of(known.beat, own));
+        newest = std::max(newest, beat->operator_revision);
+        if (beat->listing_revision > own.listing_revision)
+            youngest = std::min(youngest, age_of(*beat, own));
     }
 
-    relay_choice choice;
-    std::uint64_t news_weight = 0;
-    std::uint64_t listing_weight = 0;
-    for (auto const& [host, known] : peers.peers())
+    std::vector<host_id> with_news;
+    std::vector<host_id> with_listing;
+    for (auto const* beat : heard)
     {
-        auto const& beat = known.beat;
-        if (!peers.heard(host, now))
-            continue;
-        auto const own_weight = weight(own, host);
-        if (newest > own.operator_revision && beat.operator_revision == newest &&
-            own_weight >= news_weight)
-        {
-            news_weight = own_weight;
-            choice.operator_news = beat.address;
-        }
-        if (beat.listing_revision > own.listing_revision &&
-            age_of(beat, own) - youngest <= same_age && own_weight >= listing_weight)
-        {
-            listing_weight = own_weight;
-            choice.listing = beat.address;
-        }
+        if (newest > own.operator_revision && beat->operator_revision == newest)
+            with_news.push_back(beat->host);
+        if (beat->listing_revision > own.listing_revision &&
+            age_of(*beat, own) - youngest <= same_age)
+            with_listing.push_back(beat->host);
     }
-    return choice;
+    return {.operator_news = choose(peers, own, with_news),
+            .listing = choose(peers, own, with_listing)};
 }
 
 } // namespace marjorampath
--- a/serving/endpoint/http_fetch.cpp
+++ b/serving/endpoint/http_fetch.cpp
@@ -1,4 +1,5 @@
 #include <serving/endpoint/http_fetch.hpp>
+#include <serving/host_list/host_entry.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -9,8 +10,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <fmt/format.h>
-
 #include <utility>
 
 namespace marjorampath::serving
@@ -40,8 +39,7 @@
     if (error)
         co_return result;
 
-    request.set(http::field::host,
-                fmt::format("{}:{}", address.address().to_string(), address.port()));
+    request.set(http::field::host, format_address(address));
     request.keep_alive(false);
     request.prepare_payload();
     co_await http::async_write(stream, request,
--- a/serving/endpoint/pooled_fetch.cpp
+++ b/serving/endpoint/pooled_fetch.cpp
@@ -1,5 +1,6 @@
 #include <serving/endpoint/answer_reader.hpp>
 #include <serving/endpoint/pooled_fetch.hpp>
+#include <serving/host_list/host_entry.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -7,8 +8,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <fmt/format.h>
-
 #include <memory>
 #include <utility>
 
@@ -51,9 +50,7 @@
              http::request<http::string_body> request, http_fetch_options options)
 {
     pooled_fetch_result result;
-    request.set(http::field::host,
-                fmt::format("{}:{}", endpoint.address.address().to_string(),
-                            endpoint.address.port()));
+    request.set(http::field::host, format_address(endpoint.address));
     request.prepare_payload();
 
     // The timer closes the connection, whatever it is used for then
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -41,6 +41,10 @@
     duration confirm_timeout = std::chrono::milliseconds(10);
 };
 
+/// Timers of exchanges that wait for news of a key.
+template <class Key>
+using waiting_timers = std::multimap<Key, boost::asio::steady_timer*>;
+
 /// What the exchanges of an entry host share.
 struct entry_context
 {
@@ -70,23 +74,28 @@
     /// Hosts that share the bounds.
     std::function<std::size_t()> hosts;
     /// Timers of the exchanges that wait for an adapter, by its name.
-    std::multimap<std::string, boost::asio::steady_timer*> awaiting;
-
+    waiting_timers<std::string> awaiting;
     /// Timers of the exchanges that wait for an engine's status.
-    std::multimap<endpoint_id, boost::asio::steady_timer*> confirming;
+    waiting_timers<endpoint_id> confirming;
 
     /// Wakes the exchanges that wait for an engine's status.
     void wake(endpoint_id engine)
     {
-        auto const [begin, end] = confirming.equal_range(engine);
-        for (auto each = begin; each != end; ++each)
-            each->second->cancel();
+        cancel(confirming, engine);
     }
 
     /// Wakes the exchanges that wait for an adapter.
     void wake(std::string const& adapter)
     {
-        auto const [begin, end] = awaiting.equal_range(adapter);
+        cancel(awaiting, adapter);
+    }
+
+private:
+    // Cancels the timers of a key
+    template <class Key>
+    static void cancel(waiting_timers<Key> const& timers, Key const& key)
+    {
+        auto const [begin, end] = timers.equal_range(key);
         for (auto each = begin; each != end; ++each)
             each->second->cancel();
     }
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -79,6 +79,10 @@
     boost::asio::awaitable<void> step();
     // Waits until the decision should be made again
     boost::asio::awaitable<void> await_adapter(dispatch_decision const& decision);
+    // Waits for some time, or until the timers of a key are cancelled
+    template <class Key>
+    boost::asio::awaitable<void> wait_among(waiting_timers<Key>& timers, Key key,
+                                            duration time);
     // Asks an engine's lease holder for its present state
     boost::asio::awaitable<void> confirm(endpoint_id engine);
     // Sends the request to an endpoint and takes the answer
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -85,15 +85,24 @@
         co_await conclude(error_kind::load_failed, context_->times.retry_pause);
         co_return;
     }
-    auto const entry = context_->awaiting.emplace(request_.asked.adapter, &timer_);
-    timer_.expires_after(
-        std::max<duration>(decision.recheck - boot_now(), std::chrono::milliseconds(1)));
+    auto const time =
+        std::max<duration>(decision.recheck - boot_now(), std::chrono::milliseconds(1));
+    co_await wait_among(context_->awaiting, request_.asked.adapter, time);
+}
+
+template <entry_dialect Dialect>
+template <class Key>
+boost::asio::awaitable<void>
+entry_exchange<Dialect>::wait_among(waiting_timers<Key>& timers, Key key, duration time)
+{
+    auto const entry = timers.emplace(std::move(key), &timer_);
+    timer_.expires_after(time);
     control_->set_waiting([this] { timer_.cancel(); });
     error_code ignored;
     co_await timer_.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     control_->set_waiting(nullptr);
-    context_->awaiting.erase(entry);
+    timers.erase(entry);
 }
 
 template <entry_dialect Dialect>
@@ -102,14 +111,7 @@
     ++confirms_;
     if (!context_->report_usage(engine, true))
         co_return;
-    auto const entry = context_->confirming.emplace(engine, &timer_);
-    timer_.expires_after(context_->times.confirm_timeout);
-    control_->set_waiting([this] { timer_.cancel(); });
-    error_code ignored;
-    co_await timer_.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    control_->set_waiting(nullptr);
-    context_->confirming.erase(entry);
+    co_await wait_among(context_->confirming, engine, context_->times.confirm_timeout);
 }
 
 template <entry_dialect Dialect>
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -2,6 +2,7 @@
 #include <serving/entry/entry_fleet.hpp>
 #include <serving/telemetry/log.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -145,10 +146,15 @@
         holder_.on_offer(now, release);
 }
 
+peer_address entry_fleet::sender() const
+{
+    return {.address = sender_.address().to_v4().to_uint(), .port = sender_.port()};
+}
+
 void entry_fleet::take(load_request const& request)
 {
     auto const reply = events_.on_load_request(request);
-    send(reply, peer_address{sender_.address().to_v4().to_uint(), sender_.port()});
+    send(reply, sender());
 }
 
 void entry_fleet::take(load_reply const& reply)
@@ -162,7 +168,7 @@
     if (!report.wants_status)
         return;
     if (auto const status = events_.status_of(report.usage.endpoint))
-        send(*status, peer_address{sender_.address().to_v4().to_uint(), sender_.port()});
+        send(*status, sender());
 }
 
 void entry_fleet::take(engine_status const& status)
@@ -276,11 +282,14 @@
     send(request, holder);
 }
 
-bool entry_fleet::report_usage(usage_report const& report)
+bool entry_fleet::report_usage(engine_usage usage, bool wants_status)
 {
-    auto const holder = holder_of(report.usage.endpoint);
+    auto const holder = holder_of(usage.endpoint);
     if (!holder || holder == options_.self.host)
         return false;
+    usage_report const report{.host = options_.self.host,
+                              .usage = std::move(usage),
+                              .wants_status = wants_status};
     send(report, holder);
     return true;
 }
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -80,7 +80,7 @@
     /// Tells an engine's lease holder what this host has in flight there. Whether another
     /// host holds the lease; a status that was asked for comes by `on_status`, or not at
     /// all where a datagram is lost.
-    bool report_usage(usage_report const& report);
+    bool report_usage(engine_usage usage, bool wants_status);
 
     /// Sends beats to all hosts at once, as when there is news.
     void beat();
@@ -121,6 +121,8 @@
 
     // Waits for the next datagram
     void receive();
+    // Who sent the datagram that is being taken
+    [[nodiscard]] peer_address sender() const;
     // Takes a datagram
     void take(std::string_view bytes);
     // Takes one kind of message
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -139,6 +139,8 @@
     bool report_usage(endpoint_id engine, bool wants_status);
     // Takes the status of an engine that its lease holder was asked for
     void on_status(engine_status const& status);
+    // Tells the dispatcher about one engine of this host
+    void publish_status(endpoint_id engine);
     // Tells the dispatcher about the engines of this host
     void publish_statuses();
 
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -276,32 +276,32 @@
 template <entry_platform Platform>
 void entry_node<Platform>::publish_statuses()
 {
-    auto const now = boot_now();
-    auto const self = host_id::of(settings_.host);
     for (auto const engine : planner_.leased())
-        if (auto const usage = context_.dispatch.take_usage(engine, now))
-            planner_.on_usage(self, *usage, now);
-    for (auto const& status : planner_.statuses(now))
-        context_.dispatch.on_status(status, now);
+        publish_status(engine);
 }
 
 template <entry_platform Platform>
-bool entry_node<Platform>::report_usage(endpoint_id engine, bool wants_status)
+void entry_node<Platform>::publish_status(endpoint_id engine)
 {
     auto const now = boot_now();
+    if (auto const usage = context_.dispatch.take_usage(engine, now))
+        planner_.on_usage(host_id::of(settings_.host), *usage, now);
+    if (auto const status = planner_.status_of(engine, now))
+        context_.dispatch.on_status(*status, now);
+}
+
+template <entry_platform Platform>
+bool entry_node<Platform>::report_usage(endpoint_id engine, bool wants_status)
+{
     if (!known_engines_.contains(engine))
         return false;
-    auto usage = context_.dispatch.take_usage(engine, now);
-    if (!usage)
+    if (planner_.holds(engine))
+    {
+        publish_status(engine);
         return false;
-    auto const self = host_id::of(settings_.host);
-    if (!planner_.holds(engine))
-        return fleet_.report_usage(
-            {.host = self, .usage = std::move(*usage), .wants_status = wants_status});
-    planner_.on_usage(self, *usage, now);
-    if (auto const status = planner_.status_of(engine, now))
-        context_.dispatch.on_status(*status, now);
-    return false;
+    }
+    auto usage = context_.dispatch.take_usage(engine, boot_now());
+    return usage && fleet_.report_usage(std::move(*usage), wants_status);
 }
 
 template <entry_platform Platform>
--- a/serving/host_list/host_entry.cpp
+++ b/serving/host_list/host_entry.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <unordered_set>
 #include <utility>
@@ -67,6 +69,11 @@
 
 } // namespace
 
+std::string format_address(asio::ip::tcp::endpoint const& address)
+{
+    return fmt::format("{}:{}", address.address().to_string(), address.port());
+}
+
 std::optional<asio::ip::tcp::endpoint> parse_address(std::string_view text)
 {
     auto const colon = text.rfind(':');
--- a/serving/host_list/host_entry.hpp
+++ b/serving/host_list/host_entry.hpp
@@ -56,4 +56,7 @@
 /// Reads `IP:PORT`, or nothing where the text is malformed.
 std::optional<boost::asio::ip::tcp::endpoint> parse_address(std::string_view text);
 
+/// An address as `IP:PORT`.
+std::string format_address(boost::asio::ip::tcp::endpoint const& address);
+
 } // namespace marjorampath::serving
--- a/serving/remote/http_reader.cpp
+++ b/serving/remote/http_reader.cpp
@@ -1,3 +1,4 @@
+#include <serving/host_list/host_entry.hpp>
 #include <serving/remote/http_reader.hpp>
 #include <serving/remote/remote_error.hpp>
 
@@ -5,8 +6,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
-#include <fmt/format.h>
-
 #include <charconv>
 #include <utility>
 
@@ -83,9 +82,7 @@
 
     // Send the request
     http::request<http::empty_body> request{http::verb::get, target, 11};
-    request.set(http::field::host,
-                fmt::format("{}:{}", options_.server.address().to_string(),
-                            options_.server.port()));
+    request.set(http::field::host, format_address(options_.server));
     stream_.expires_after(timeout);
     co_await http::async_write(stream_, request,
                                asio::redirect_error(asio::use_awaitable, error));
--- a/serving/replay/replay_runner.cpp
+++ b/serving/replay/replay_runner.cpp
@@ -1,4 +1,5 @@
 #include <serving/clock/boot_time.hpp>
+#include <serving/host_list/host_entry.hpp>
 #include <serving/replay/http_exchange.hpp>
 #include <serving/replay/replay_runner.hpp>
 
@@ -221,9 +222,7 @@
                            if (attempt.complete)
                                read_records(attempt.text, records);
                            else
-                               missing.push_back(
-                                   fmt::format("{}:{}", endpoint.address().to_string(),
-                                               endpoint.port()));
+                               missing.push_back(format_address(endpoint));
                        });
     }
     context.run();
--- a/serving/settings/settings_field.cpp
+++ b/serving/settings/settings_field.cpp
@@ -1,3 +1,4 @@
+#include <serving/host_list/host_entry.hpp>
 #include <serving/settings/settings_field.hpp>
 
 #include <boost/asio/ip/address.hpp>
@@ -80,12 +81,8 @@
             settings.*member = *address;
             return {};
         },
-        .show =
-            [member](node_settings const& settings)
-        {
-            auto const& address = settings.*member;
-            return fmt::format("{}:{}", address.address().to_string(), address.port());
-        }};
+        .show = [member](node_settings const& settings)
+        { return format_address(settings.*member); }};
 }
 
 // A number; `select` gives its place in the settings
@@ -283,9 +280,7 @@
             .show = [](node_settings const& settings) -> std::string
             {
                 auto const& address = settings.fleet.address;
-                return address ? fmt::format("{}:{}", address->address().to_string(),
-                                             address->port())
-                               : std::string();
+                return address ? format_address(*address) : std::string();
             }};
 }
 
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -96,7 +96,7 @@
 
 std::string child_process::address_text() const
 {
-    return fmt::format("{}:{}", address_.address().to_string(), address_.port());
+    return serving::format_address(address_);
 }
 
 std::string child_process::read_line(int pipe) const
--- /dev/null
+++ b/tests/soak/monotonic_time.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace marjorampath::test
+{
+
+/// The machine's monotonic clock, in milliseconds; all processes of a soak have the same.
+inline std::int64_t monotonic_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace marjorampath::test
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,3 +1,4 @@
+#include <serving/host_list/host_entry.hpp>
 #include <tests/process/test_client.hpp>
 #include <tests/soak/soak_fleet.hpp>
 
@@ -11,6 +12,7 @@
 #include <csignal>
 #include <fstream>
 #include <platform/standin/operator_documents.hpp>
+#include <platform/store_codec.hpp>
 #include <stdexcept>
 
 namespace marjorampath::test
@@ -22,6 +24,7 @@
 {
 
 using tcp = asio::ip::tcp;
+using serving::format_address;
 
 constexpr std::string_view readiness_path = "/api/readyz";
 constexpr std::array<std::string_view, 2> zones{"zone-a", "zone-b"};
@@ -38,11 +41,6 @@
     return acceptor.local_endpoint().port();
 }
 
-std::string text_of(tcp::endpoint const& address)
-{
-    return fmt::format("{}:{}", address.address().to_string(), address.port());
-}
-
 } // namespace
 
 soak_fleet::soak_fleet(asio::io_context& context, options const& values)
@@ -78,8 +76,8 @@
                                        static_cast<std::uint32_t>(index));
     node.readiness = {address, ports_[0]};
     callers_.emplace_back(address, ports_[1]);
-    relays_.push_back(text_of({address, ports_[2]}));
-    peers_.push_back(text_of({address, ports_[3]}));
+    relays_.push_back(format_address({address, ports_[2]}));
+    peers_.push_back(format_address({address, ports_[3]}));
     node.callers = std::make_unique<fault_proxy>(context_, callers_.back());
     node.store = std::make_unique<fault_proxy>(context_, store->address());
 }
@@ -92,10 +90,10 @@
             "readiness: \"{}\"\nreadiness_path: \"{}\"\nrelay: \"{}\"\n"
             "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
             "grace_s: 8\n",
-            index, zones.at(index % zones.size()), text_of(callers_[index]),
-            text_of(nodes[index].readiness), readiness_path, relays_[index],
+            index, zones.at(index % zones.size()), format_address(callers_[index]),
+            format_address(nodes[index].readiness), readiness_path, relays_[index],
             peers_[index], fmt::join(relays_, "\", \""),
-            text_of(nodes[index].store->address()));
+            format_address(nodes[index].store->address()));
 }
 
 std::string soak_fleet::endpoint_name(std::size_t index) const
@@ -128,7 +126,7 @@
         "marjorampath-standin", arguments, (options_.folder / (name + ".log")).string());
     place.link->set_target(place.process->address());
     auto const body = boost::json::serialize(
-        boost::json::object{{"address", text_of(place.link->address())}});
+        boost::json::object{{"address", format_address(place.link->address())}});
     call(place.process->address(), "POST", "/standin/set", body);
 }
 
@@ -165,7 +163,7 @@
 
 void soak_fleet::publish_configuration()
 {
-    put(platform::configuration_key(),
+    put(std::string(platform::configuration_key),
         platform::configuration_document({.version = ++configuration_}));
 }
 
@@ -174,24 +172,22 @@
     return call(nodes[index].readiness, "GET", readiness_path).status == 200;
 }
 
-std::vector<std::pair<std::string, fault_proxy*>> soak_fleet::links()
+std::vector<fault_proxy*> soak_fleet::links() const
 {
-    std::vector<std::pair<std::string, fault_proxy*>> all;
-    for (std::size_t index = 0; index < nodes.size(); ++index)
+    std::vector<fault_proxy*> all;
+    for (auto const& node : nodes)
     {
-        all.emplace_back(fmt::format("callers of node {}", index),
-                         nodes[index].callers.get());
-        all.emplace_back(fmt::format("store of node {}", index),
-                         nodes[index].store.get());
+        all.push_back(node.callers.get());
+        all.push_back(node.store.get());
     }
-    for (std::size_t index = 0; index < endpoints.size(); ++index)
-        all.emplace_back(fmt::format("endpoint {}", index), endpoints[index].link.get());
+    for (auto const& endpoint : endpoints)
+        all.push_back(endpoint.link.get());
     return all;
 }
 
 void soak_fleet::heal()
 {
-    for (auto const& [name, link] : links())
+    for (auto* link : links())
         link->set_state(link_state::open);
     store->signal(SIGCONT);
     for (auto const& node : nodes)
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -80,8 +80,9 @@
     /// Lines of all records of endpoints.
     [[nodiscard]] std::vector<std::string> records() const;
 
-    /// All links, with their names.
-    std::vector<std::pair<std::string, fault_proxy*>> links();
+    /// All links: of each node those of its callers and of the store, then the
+    /// endpoints'.
+    [[nodiscard]] std::vector<fault_proxy*> links() const;
 
     std::vector<node_place> nodes;
     std::vector<endpoint_place> endpoints;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,3 +1,4 @@
+#include <tests/soak/monotonic_time.hpp>
 #include <tests/soak/soak_run.hpp>
 
 #include <fmt/format.h>
@@ -27,13 +28,6 @@
 // Time between two looks at what is due
 constexpr auto look_period = 10ms;
 
-std::int64_t now_ms()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 std::vector<boost::asio::ip::tcp::endpoint> caller_addresses(soak_fleet const& fleet)
 {
     std::vector<boost::asio::ip::tcp::endpoint> addresses;
@@ -159,7 +153,7 @@
 void soak_run::begin_link(soak_fault const& fault)
 {
     auto const all = fleet_.links();
-    auto* link = all[fault.target % all.size()].second;
+    auto* link = all[fault.target % all.size()];
     if (fault.kind == fault_kind::link_reset)
         return link->reset();
     link->set_state(fault.kind == fault_kind::link_delay     ? link_state::delayed
@@ -203,7 +197,7 @@
     {
         process->signal(SIGCONT);
         evidence_.leaves.push_back(
-            {.endpoint = fleet_.endpoint_name(index), .at_ms = now_ms()});
+            {.endpoint = fleet_.endpoint_name(index), .at_ms = monotonic_ms()});
         fleet_.drain_endpoint(index);
         later(drain_time, replace);
     }
@@ -233,7 +227,7 @@
         process.wait(1s);
         later(replace_pause, [this, index] { fleet_.start_node(index); });
     }
-    else if (process.running())
+    else
     {
         process.signal(SIGCONT);
         process.signal(SIGTERM);
@@ -258,7 +252,7 @@
     auto const adapter = fmt::format("a{}", fault.target % popular);
     auto const version = fleet_.announce_version(adapter);
     evidence_.versions.push_back(
-        {.adapter = adapter, .version = version, .at_ms = now_ms()});
+        {.adapter = adapter, .version = version, .at_ms = monotonic_ms()});
 }
 
 void soak_run::watch_stopping()
@@ -308,7 +302,7 @@
     std::vector<std::int64_t> stopped_ms;
     for (std::size_t node = 0; node < fleet_.nodes.size(); ++node)
     {
-        stopped_ms.push_back(now_ms());
+        stopped_ms.push_back(monotonic_ms());
         fleet_.nodes[node].process->signal(SIGTERM);
         auto const status = fleet_.nodes[node].process->wait(grace);
         if (!status || *status != 0)
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -1,3 +1,4 @@
+#include <tests/soak/monotonic_time.hpp>
 #include <tests/soak/soak_traffic.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -37,13 +38,6 @@
 constexpr int shortest_pause = 5;
 constexpr int longest_pause = 60;
 
-std::int64_t now_ms()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::steady_clock::now().time_since_epoch())
-        .count();
-}
-
 beast::string_view name_of(std::string_view name)
 {
     return {name.data(), name.size()};
@@ -131,7 +125,7 @@
         co_await stream->async_connect(options_.nodes[asked.node],
                                        asio::redirect_error(asio::use_awaitable, error));
     }
-    asked.sent_ms = now_ms();
+    asked.sent_ms = monotonic_ms();
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     if (!error)
@@ -144,7 +138,7 @@
     if (!error)
         co_await http::async_read(*stream, buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
-    asked.ended_ms = now_ms();
+    asked.ended_ms = monotonic_ms();
     if (parser.is_header_done())
         asked.status = parser.get().result_int();
     asked.ended = !error && parser.is_done();
--- a/tests/unit/dispatch/dispatcher_test.cpp
+++ b/tests/unit/dispatch/dispatcher_test.cpp
@@ -1,16 +1,16 @@
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/event_splitter.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
+#include <tests/unit/dispatch/mock_engines.hpp>
 
 #include <boost/test/unit_test.hpp>
 
-#include <fmt/format.h>
-
 #include <random>
 #include <set>
 #include <vector>
 
 using namespace marjorampath;
+using namespace marjorampath::test;
 using namespace std::chrono_literals;
 
 namespace
@@ -23,32 +23,19 @@
 {
     dispatch_fixture()
     {
-        dispatch.set_services({{.id = service,
-                                .name = "models",
-                                .engine = engine_definition{.slots = 64,
-                                                            .cache_tokens = 232'000,
-                                                            .adapter_slots = 8,
-                                                            .models = {{.name = "m"}}}}});
+        dispatch.set_services({mock_service_definition()});
         for (std::uint32_t index = 0; index < engine_count; ++index)
             announce(index);
     }
 
     static endpoint_id engine(std::uint32_t index)
     {
-        return endpoint_id::of(fmt::format("engine-{}", index));
+        return mock_engine(index);
     }
 
     void announce(std::uint32_t index, endpoint_change change = endpoint_change::appeared)
     {
-        dispatch.on_endpoint({.change = change,
-                              .endpoint = {.id = engine(index),
-                                           .name = fmt::format("engine-{}", index),
-                                           .born = 1,
-                                           .service = service,
-                                           .zone = zone_id::of("z"),
-                                           .slots = 64,
-                                           .models = {"m"}}},
-                             now);
+        dispatch.on_endpoint(mock_engine_event(index, change), now);
     }
 
     // The lease holders report which engine holds which adapters
@@ -78,7 +65,7 @@
                 .deadline = now + 6s};
     }
 
-    service_id service = service_id::of("models");
+    service_id service = mock_service();
     time_point now{1'000s};
     dispatcher dispatch{zone_id::of("z"), {.seed = 7}};
 };
--- a/tests/unit/dispatch/fresh_status_test.cpp
+++ b/tests/unit/dispatch/fresh_status_test.cpp
@@ -1,15 +1,13 @@
 #include <marjorampath/dispatch/dispatcher.hpp>
+#include <tests/unit/dispatch/mock_engines.hpp>
 
-#include <boost/random/mersenne_twister.hpp>
-#include <boost/random/uniform_int_distribution.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <vector>
 
 using namespace marjorampath;
+using namespace marjorampath::test;
 using namespace std::chrono_literals;
 
 namespace
@@ -21,15 +19,10 @@
 constexpr std::uint32_t engine_count = 12;
 constexpr std::uint32_t prompt_tokens = 9'190;
 
-endpoint_id engine(std::uint32_t index)
-{
-    return endpoint_id::of(fmt::format("engine-{}", index));
-}
-
 engine_status status(std::uint32_t index, std::uint64_t waiting_tokens = 0,
                      double requests = 0)
 {
-    return {.endpoint = engine(index),
+    return {.endpoint = mock_engine(index),
             .born = 1,
             .orderable = true,
             .free_places = 1,
@@ -41,30 +34,16 @@
 dispatcher make_dispatcher(std::uint32_t engines, std::uint64_t seed, time_point now)
 {
     dispatcher made{zone_id::of("z"), {.seed = seed}};
-    auto const service = service_id::of("models");
-    made.set_services({{.id = service,
-                        .name = "models",
-                        .engine = engine_definition{.slots = 64,
-                                                    .cache_tokens = 232'000,
-                                                    .adapter_slots = 7,
-                                                    .models = {{.name = "m"}}}}});
+    made.set_services({mock_service_definition()});
     for (std::uint32_t index = 0; index < engines; ++index)
-        made.on_endpoint({.change = endpoint_change::appeared,
-                          .endpoint = {.id = engine(index),
-                                       .name = fmt::format("engine-{}", index),
-                                       .born = 1,
-                                       .service = service,
-                                       .zone = zone_id::of("z"),
-                                       .slots = 64,
-                                       .models = {"m"}}},
-                         now);
+        made.on_endpoint(mock_engine_event(index), now);
     return made;
 }
 
 call request(std::uint64_t number, time_point now)
 {
     return {.id = request_id(number),
-            .service = service_id::of("models"),
+            .service = mock_service(),
             .kind = call_kind::stream,
             .model = "m",
             .adapter = "m/a",
@@ -94,7 +73,7 @@
 
     // What the lease holder tells changes the choice
     dispatch.on_status(
-        status(old.endpoint == engine(0) ? 0 : 1, 20 * std::uint64_t{prompt_tokens}),
+        status(old.endpoint == mock_engine(0) ? 0 : 1, 20 * std::uint64_t{prompt_tokens}),
         now + 400ms);
     auto const again = dispatch.decide(request(2, now), {}, now + 401ms);
     BOOST_TEST((again.endpoint != old.endpoint));
@@ -109,7 +88,7 @@
     auto const old = dispatch.decide(request(1, now), {}, now + 400ms);
     BOOST_TEST((old.act == dispatch_act::refuse));
     BOOST_TEST(old.confirm);
-    BOOST_TEST((old.endpoint == engine(0)));
+    BOOST_TEST((old.endpoint == mock_engine(0)));
     dispatch.on_status(status(0), now + 400ms);
     auto const confirmed = dispatch.decide(request(1, now), {}, now + 401ms);
     BOOST_TEST((confirmed.act == dispatch_act::send));
@@ -136,12 +115,12 @@
         for (int confirms = 0; decision.confirm && confirms < most_confirms; ++confirms)
         {
             for (std::uint32_t index = 0; index < engine_count; ++index)
-                if (engine(index) == decision.endpoint)
+                if (mock_engine(index) == decision.endpoint)
                     hosts[host].on_status(status(index, waiting[index]), now);
             decision = hosts[host].decide(asked, {}, now);
         }
         for (std::uint32_t index = 0; index < engine_count; ++index)
-            if (engine(index) == decision.endpoint)
+            if (mock_engine(index) == decision.endpoint)
                 waiting[index] += prompt_tokens;
     }
 
@@ -176,7 +155,7 @@
         other.adapters.clear();
         dispatch.on_status(other, now);
         auto const decision = dispatch.decide(request(1, now), {}, now);
-        BOOST_TEST((decision.endpoint == engine(0)));
+        BOOST_TEST((decision.endpoint == mock_engine(0)));
         BOOST_TEST(decision.load.has_value() == popular);
     }
 }
