Log what an order to an engine was planned from

Change: order_basis carries the occupied slots, the loads in transit, the adapter's state in the last report and that report's age from the planner to the log line; no decision changes.

--- a/marjorampath/adapter_load/load_planner.cpp
+++ b/marjorampath/adapter_load/load_planner.cpp
@@ -128,6 +128,7 @@
     target.reported = true;
     target.is_loading_model = report.is_loading_model;
     target.models = report.models;
+    target.last_report_at = requested_at;
 
     // Recent orders may not show in the report yet
     auto const settled = requested_at - options_.report_lag;
@@ -140,15 +141,24 @@
                   });
     std::erase_if(target.unloaded,
                   [&](auto const& entry) { return entry.second < settled; });
+    for (auto& [name, adapter] : target.adapters)
+        adapter.reported = reported_state::absent;
     for (auto const& adapter : report.adapters)
-        if (!target.unloaded.contains(adapter.name))
-            target.adapters.try_emplace(
-                adapter.name, adapter_entry{.version = adapter.version, .ready_at = {}});
+    {
+        if (target.unloaded.contains(adapter.name))
+            continue;
+        auto const [entry, added] = target.adapters.try_emplace(
+            adapter.name, adapter_entry{.version = adapter.version, .ready_at = {}});
+        entry->second.reported = reported_state::loaded;
+    }
     // The start of these loads is unknown: assume that half of the load time is left
     for (auto const& adapter : report.loading_adapters)
-        target.adapters.try_emplace(adapter.name,
-                                    adapter_entry{.version = adapter.version,
-                                                  .ready_at = now + load_time(now) / 2});
+    {
+        auto const [entry, added] = target.adapters.try_emplace(
+            adapter.name, adapter_entry{.version = adapter.version,
+                                        .ready_at = now + load_time(now) / 2});
+        entry->second.reported = reported_state::loading;
+    }
 }
 
 void load_planner::on_usage(host_id host, endpoint_usage const& usage, time_point now)
@@ -369,13 +379,13 @@
         if (target.order_in_progress || target.pending_orders.empty())
             continue;
         target.order_in_progress = true;
-        orders.push_back(make_order(id, target, target.pending_orders.front()));
+        orders.push_back(make_order(id, target, target.pending_orders.front(), now));
     }
     return orders;
 }
 
 planned_order load_planner::make_order(endpoint_id id, engine const& target,
-                                       pending_order const& next) const
+                                       pending_order const& next, time_point now) const
 {
     planned_order order{.endpoint = id,
                         .started_at_ms = target.announced.started_at_ms,
@@ -383,7 +393,8 @@
                         .model = model_of(next.model_or_adapter),
                         .adapter = {},
                         .version = 0,
-                        .fencing_number = target.fencing_number};
+                        .fencing_number = target.fencing_number,
+                        .basis = make_basis(target, next.model_or_adapter, now)};
     if (next.kind == order_kind::load_model)
         return order;
     order.adapter = next.model_or_adapter;
@@ -393,6 +404,22 @@
     return order;
 }
 
+order_basis load_planner::make_basis(engine const& target, std::string const& adapter,
+                                     time_point now) const
+{
+    auto const* service = definition(target);
+    auto const known = target.adapters.find(adapter);
+    order_basis basis{.occupied_slots =
+                          static_cast<std::uint32_t>(target.adapters.size()),
+                      .adapter_slots = service ? service->adapter_slots : 0,
+                      .loads_in_transit = loads_in_transit_to(target, now)};
+    if (known != target.adapters.end())
+        basis.reported = known->second.reported;
+    if (target.last_report_at)
+        basis.report_age = now - *target.last_report_at;
+    return basis;
+}
+
 void load_planner::on_order_done(planned_order const& order, order_result result,
                                  time_point now)
 {
--- a/marjorampath/adapter_load/load_planner.hpp
+++ b/marjorampath/adapter_load/load_planner.hpp
@@ -106,6 +106,8 @@
         bool order_pending = false;
         // Whether it is being evicted
         bool evicting = false;
+        // Its state in the last report
+        reported_state reported = reported_state::absent;
     };
 
     /// Recent use of an adapter.
@@ -149,6 +151,8 @@
         bool reported = false;
         // Reports requested before this time are ignored
         time_point reports_valid_from{};
+        // When the last report was requested
+        std::optional<time_point> last_report_at;
         // Whether it is executing an order for a base model
         bool is_loading_model = false;
         // Loaded base models
@@ -202,7 +206,11 @@
     static void discard_pending_orders(engine& target);
     // Creates the order to send for a pending one
     [[nodiscard]] planned_order make_order(endpoint_id id, engine const& target,
-                                           pending_order const& next) const;
+                                           pending_order const& next,
+                                           time_point now) const;
+    // What is known about an engine before an order for an adapter is sent
+    [[nodiscard]] order_basis make_basis(engine const& target, std::string const& adapter,
+                                         time_point now) const;
     // Applies an order to an engine's state; `already_done` is true for
     // `order_result::already_done`
     void apply_order(engine& target, planned_order const& order, bool already_done,
--- a/marjorampath/adapter_load/planned_order.hpp
+++ b/marjorampath/adapter_load/planned_order.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <marjorampath/adapter_load/order_basis.hpp>
 #include <marjorampath/core/identifier.hpp>
 
 #include <cstdint>
@@ -41,6 +42,8 @@
     std::uint64_t version = 0;
     /// Fencing number of the lease under which the order is sent.
     std::uint64_t fencing_number = 0;
+    /// The engine's state that the order was planned for; not sent.
+    order_basis basis;
 };
 
 /// An engine's response to an order.
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -141,6 +141,9 @@
     // Sends the orders that are due to engines
     void send_orders();
     boost::asio::awaitable<void> send_order(planned_order order);
+    // Logs an order with its result and what it was planned from
+    static void log_order(planned_order const& order, std::string const& name,
+                          order_result result, bool leased, duration took);
     // Reports this host's requests in flight at an engine to its lease holder, and may
     // request the engine's status; true if a report was sent
     bool report_usage(endpoint_id engine, bool wants_status);
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -347,6 +347,21 @@
         boost::asio::co_spawn(loop_, send_order(std::move(order)), boost::asio::detached);
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::log_order(planned_order const& order, std::string const& name,
+                                     order_result result, bool leased, duration took)
+{
+    auto const& basis = order.basis;
+    auto const report_age = basis.report_age.value_or(std::chrono::milliseconds(-1));
+    log_event(event::order_given, "endpoint", name, "kind", to_string(order.kind),
+              "adapter", order.adapter, "version", order.version, "fence",
+              order.fencing_number, "result", to_string(result), "leased", leased,
+              "took_ms", took.count() / 1'000'000, "occupied", basis.occupied_slots,
+              "slots", basis.adapter_slots, "in_transit", basis.loads_in_transit,
+              "reported", to_string(basis.reported), "report_age_ms",
+              report_age.count() / 1'000'000);
+}
+
 template <entry_platform Platform>
 boost::asio::awaitable<void> entry_node<Platform>::send_order(planned_order order)
 {
@@ -361,10 +376,7 @@
         order.fencing_number = *number;
         result = co_await engines_.send_order(announced, order);
     }
-    log_event(event::order_given, "endpoint", announced.name, "kind",
-              to_string(order.kind), "adapter", order.adapter, "fence",
-              order.fencing_number, "result", to_string(result), "leased",
-              number.has_value(), "took_ms", (boot_now() - begin).count() / 1'000'000);
+    log_order(order, announced.name, result, number.has_value(), boot_now() - begin);
     context_.metrics.count(orders_metric, "result", to_string(result));
     if (result == order_result::fenced)
         fleet_.on_fenced(order.endpoint, order.fencing_number);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -144,7 +144,9 @@
     event_entry{
         order_given, info, "order_given",
         "An order to load or unload an adapter was sent to an engine; `result` is "
-        "its outcome."},
+        "its outcome. `occupied` of `slots` adapter slots counted as taken before it; "
+        "`reported` is the adapter's state in the engine's last report, of "
+        "`report_age_ms` before (-1: none)."},
     event_entry{engine_reported, info, "engine_reported",
                 "The first report from an engine since this host obtained its lease."},
 
