Test that a load that takes longer than expected keeps its slot

Change: two tests with loads slower than expected, one of them with 60 seeds; the fake engine of the older tests loaded in 255 ms always, which hid the fault.

--- a/tests/unit/adapter_load/load_planner_test.cpp
+++ b/tests/unit/adapter_load/load_planner_test.cpp
@@ -35,7 +35,7 @@
         }
         if (held_.contains(order.adapter) || coming_.contains(order.adapter))
             return order_result::already_done;
-        coming_[order.adapter] = now + 255ms;
+        coming_[order.adapter] = now + load_time;
         too_many_adapters |= held_.size() + coming_.size() > slot_count;
         record_state(now);
         return order_result::accepted;
@@ -62,6 +62,8 @@
         return held_.contains(adapter);
     }
 
+    // Time of a load that starts now
+    duration load_time = 255ms;
     bool too_many_adapters = false;
 
 private:
@@ -235,6 +237,31 @@
     BOOST_TEST((reply.refusal == load_refusal::no_free_slot));
 }
 
+// An engine that is told to unload an adapter whose load is still in progress answers
+// that it does not hold it, and the load goes on.
+BOOST_AUTO_TEST_CASE(a_load_that_takes_longer_than_expected_keeps_its_slot)
+{
+    take_lease();
+    engine.load_time = 3s;
+    for (std::uint32_t index = 0; index < slot_count; ++index)
+    {
+        request_load(fmt::format("m/a{}", index));
+        execute_orders();
+        now += 300ms;
+    }
+    now += 700ms;
+    BOOST_TEST(!request_load("m/new"));
+    execute_orders();
+    BOOST_TEST(!engine.too_many_adapters);
+
+    // Once the report lists them as loaded, the least used one is evicted
+    now += 4s;
+    planner.on_report(engine.report(now, 0ms), now, now);
+    BOOST_TEST(request_load("m/new"));
+    execute_orders();
+    BOOST_TEST(!engine.too_many_adapters);
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_version_is_loaded_over_an_older_one)
 {
     take_lease();
@@ -286,6 +313,30 @@
     }
 }
 
+// Loads take up to ten times as long as expected when many engines load at once
+BOOST_AUTO_TEST_CASE(an_engine_never_exceeds_its_adapter_slots_when_loads_are_slow)
+{
+    for (std::uint32_t seed = 1; seed <= 60; ++seed)
+    {
+        planner_fixture fixture;
+        std::mt19937 random(seed);
+        fixture.take_lease();
+        for (int step = 0; step < 1'500; ++step)
+        {
+            fixture.now += std::chrono::milliseconds(1 + random() % 40);
+            fixture.engine.load_time = std::chrono::milliseconds(200 + random() % 2'800);
+            fixture.request_load(fmt::format("m/a{}", random() % 60));
+            fixture.execute_orders();
+            if (random() % 30 == 0)
+                fixture.planner.on_report(
+                    fixture.engine.report(fixture.now,
+                                          std::chrono::milliseconds(random() % 300)),
+                    fixture.now, fixture.now);
+        }
+        BOOST_TEST(!fixture.engine.too_many_adapters, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(loads_of_a_large_deployment_are_not_expected_to_be_slow)
 {
     // Thirty concurrent loads are as fast as one at ninety engines, but slower at a
