Evict an adapter only once its engine reports it as loaded

Cause: the planner took the expected end of a load for its end. When hundreds of loads start at once they take longer; 0.6 s after the expected end the adapter counted as evictable, the engine answered its unload with 200 because it did not hold it yet, and the freed slot was given to another adapter while the load in transit still occupied it. Class: an estimate used as if it were an observation. Change: an adapter is evicted only if a report that shows its last order lists it as loaded. A report that still lists an adapter after its unload is not taken for a later load of it. A confirmed adapter keeps the grace period before its eviction; it was lost when a report replaced the entry. Why it works: the engine frees a slot only at an unload of what it holds, so an unload that is ordered only for what it holds frees one. The test the_least_used_adapter_is_evicted_but_never_one_in_use now reads a report before it evicts, as the node does each 0.6 s; its checks are unchanged.

--- a/marjorampath/adapter_load/load_planner.cpp
+++ b/marjorampath/adapter_load/load_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace marjorampath
 {
@@ -130,26 +131,30 @@
     target.models = report.models;
     target.last_report_at = requested_at;
 
-    // Recent orders may not show in the report yet
+    // Recent orders may not show in the report yet: their adapters are kept as they are
     auto const settled = requested_at - options_.report_lag;
-    std::erase_if(target.adapters,
-                  [&](auto const& entry)
-                  {
-                      auto const& ordered = entry.second.ordered_at;
-                      return !has_pending_order(target, entry.first) &&
-                             (!ordered || *ordered < settled);
-                  });
+    auto known = std::exchange(target.adapters, {});
+    for (auto const& [name, adapter] : known)
+        if (has_pending_order(target, name) ||
+            (adapter.ordered_at && *adapter.ordered_at >= settled))
+            target.adapters.emplace(name, adapter).first->second.reported =
+                reported_state::absent;
     std::erase_if(target.unloaded,
                   [&](auto const& entry) { return entry.second < settled; });
-    for (auto& [name, adapter] : target.adapters)
-        adapter.reported = reported_state::absent;
     for (auto const& adapter : report.adapters)
     {
         if (target.unloaded.contains(adapter.name))
             continue;
-        auto const [entry, added] = target.adapters.try_emplace(
-            adapter.name, adapter_entry{.version = adapter.version, .ready_at = {}});
-        entry->second.reported = reported_state::loaded;
+        auto const ready_at = std::min(known[adapter.name].ready_at, now);
+        auto& entry =
+            target.adapters
+                .try_emplace(adapter.name, adapter_entry{.version = adapter.version,
+                                                         .ready_at = ready_at})
+                .first->second;
+
+        // An older version stays listed until its replacement is loaded
+        if (adapter.version >= entry.version)
+            entry.reported = reported_state::loaded;
     }
     // The start of these loads is unknown: assume that half of the load time is left
     for (auto const& adapter : report.loading_adapters)
@@ -263,8 +268,9 @@
     double least_use = 0;
     for (auto const& [name, adapter] : target.adapters)
     {
-        if (adapter.evicting || adapter.ready_at + options_.eviction_grace > now ||
-            in_use(target, name, now))
+        // An engine does not cancel a load: its slot stays occupied until the load ends
+        if (adapter.evicting || adapter.reported != reported_state::loaded ||
+            adapter.ready_at + options_.eviction_grace > now || in_use(target, name, now))
             continue;
         auto const use = score(target, name, now);
         if (least && use >= least_use)
@@ -468,7 +474,6 @@
                                           .ready_at =
                                               already_done ? now : now + load_time(now),
                                           .ordered_at = now};
-        target.unloaded.erase(order.adapter);
         break;
     case order_kind::unload_adapter:
         if (already_done)
--- a/marjorampath/adapter_load/load_planner.hpp
+++ b/marjorampath/adapter_load/load_planner.hpp
@@ -24,11 +24,11 @@
 ///
 /// It is designed for a workload in which most adapters are requested rarely and a few
 /// all the time, and in which the popular ones change within seconds. It evicts the
-/// adapter with the lowest decayed request count, but never one that is in use or
-/// whose expected load end is not yet `eviction_grace` ago. An engine is never sent more
-/// adapters than it has slots for, even if messages are lost: after an order without an
-/// answer, the adapter counts as occupying its slot until a later report shows
-/// otherwise.
+/// adapter with the lowest decayed request count, but never one that is in use, whose
+/// expected load end is not yet `eviction_grace` ago, or that the engine has not reported
+/// as loaded. An engine is never sent more adapters than it has slots for, even if
+/// messages are lost: after an order without an answer, the adapter counts as occupying
+/// its slot until a later report shows otherwise.
 class load_planner
 {
 public:
@@ -106,7 +106,7 @@
         bool order_pending = false;
         // Whether it is being evicted
         bool evicting = false;
-        // Its state in the last report
+        // Its state in the last report; absent until a report shows its last order
         reported_state reported = reported_state::absent;
     };
 
--- a/tests/unit/adapter_load/load_planner_test.cpp
+++ b/tests/unit/adapter_load/load_planner_test.cpp
@@ -208,6 +208,7 @@
         now += 300ms;
     }
     now += 1s;
+    planner.on_report(engine.report(now, 0ms), now, now);
 
     // a0 has a request in flight, a1 is rarely used, the others often
     endpoint_usage usage{.endpoint = announced.id};
