Keep the slot of an order in progress when its lease is lost

Cause: when a lease was lost, the planner dropped the orders that it had sent but had no answer to together with those that it had not sent. If it regained the lease before the answer, the slot of the order in progress was given to another adapter. Change: only orders that were not sent are discarded. Evidence and result: the new test an_order_in_progress_keeps_its_slot_when_the_lease_is_lost failed before (one adapter more than slots) and passes; 264 unit tests pass.

--- a/marjorampath/adapter_load/load_planner.cpp
+++ b/marjorampath/adapter_load/load_planner.cpp
@@ -91,9 +91,15 @@
 
 void load_planner::discard_pending_orders(engine& target)
 {
-    target.pending_orders.clear();
+    // The engine may execute an order that was sent, whatever happens to the lease
+    auto const sent = target.order_in_progress && !target.pending_orders.empty() ? 1 : 0;
+    target.pending_orders.erase(target.pending_orders.begin() + sent,
+                                target.pending_orders.end());
     std::erase_if(target.adapters,
-                  [](auto const& entry) { return entry.second.order_pending; });
+                  [&](auto const& entry) {
+                      return entry.second.order_pending &&
+                             !has_pending_order(target, entry.first);
+                  });
 }
 
 bool load_planner::holds(endpoint_id endpoint) const
--- a/marjorampath/adapter_load/load_planner.hpp
+++ b/marjorampath/adapter_load/load_planner.hpp
@@ -202,7 +202,7 @@
     // Whether an order for an adapter is pending or in progress
     [[nodiscard]] static bool has_pending_order(engine const& target,
                                                 std::string const& adapter);
-    // Discards the pending orders and the adapters that they would load
+    // Discards the orders that were not sent and the adapters that they would load
     static void discard_pending_orders(engine& target);
     // Creates the order to send for a pending one
     [[nodiscard]] planned_order make_order(endpoint_id id, engine const& target,
--- a/tests/unit/adapter_load/load_planner_test.cpp
+++ b/tests/unit/adapter_load/load_planner_test.cpp
@@ -263,6 +263,29 @@
     BOOST_TEST(!engine.too_many_adapters);
 }
 
+// The engine executes an order whose answer is still on its way when the lease is lost
+BOOST_AUTO_TEST_CASE(an_order_in_progress_keeps_its_slot_when_the_lease_is_lost)
+{
+    take_lease();
+    for (std::uint32_t index = 0; index < slot_count - 1; ++index)
+    {
+        request_load(fmt::format("m/a{}", index));
+        execute_orders();
+        now += 300ms;
+    }
+    BOOST_TEST(request_load("m/last"));
+    auto const orders = planner.next_orders(now);
+    BOOST_REQUIRE(orders.size() == 1u);
+    auto const result = engine.execute(orders[0], now);
+
+    planner.on_lease_lost(announced.id);
+    planner.on_lease(announced.id, 6, true, now);
+    request_load("m/new");
+    planner.on_order_done(orders[0], result, now);
+    execute_orders();
+    BOOST_TEST(!engine.too_many_adapters);
+}
+
 BOOST_AUTO_TEST_CASE(a_newer_version_is_loaded_over_an_older_one)
 {
     take_lease();
