Keep the age of a relayed listing of the endpoints

Cause: a host that reads the listing from another host counted it as new at that moment, and the next reader did the same. Change: the answer of a relay states the listing's age, the catalog counts from the read of the store, and a peer is asked at an age of 1.5 s. Hosts with listings within 0.8 s of the newest in the zone count as equal, so that reads spread; a relay whose last read failed is avoided. A gap of 2.4 s counts as an outage of the store, the shortest in which an entry can expire.

--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -1,5 +1,6 @@
 #include <marjorampath/deployment/endpoint_catalog.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -7,16 +8,16 @@
 {
 
 std::vector<endpoint_event>
-endpoint_catalog::apply_listing(time_point now, std::uint64_t revision,
+endpoint_catalog::apply_listing(time_point listed_at, std::uint64_t revision,
                                 std::vector<endpoint_announcement> listing)
 {
     std::vector<endpoint_event> events;
     if (revision < revision_)
         return events;
-    if (listed_at_ && now - *listed_at_ > options_.outage_threshold)
-        keep_missing_until_ = now + options_.reregistration_grace;
+    if (listed_at_ && listed_at - *listed_at_ > options_.outage_threshold)
+        keep_missing_until_ = listed_at + options_.reregistration_grace;
     revision_ = revision;
-    listed_at_ = now;
+    listed_at_ = std::max(listed_at, listed_at_.value_or(listed_at));
 
     std::set<endpoint_id> listed;
     for (auto& entry : listing)
@@ -24,7 +25,7 @@
         listed.insert(entry.id);
         apply_entry(std::move(entry), events);
     }
-    if (now < keep_missing_until_)
+    if (listed_at < keep_missing_until_)
         return events;
     std::erase_if(endpoints_,
                   [&](auto& known)
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -48,16 +48,19 @@
         /// kept: live endpoints announce themselves again within about two seconds.
         duration reregistration_grace = std::chrono::milliseconds(2'300);
         /// Gap between two listings above which service discovery counts as having been
-        /// unavailable: two missed listings at the usual interval.
-        duration outage_threshold = std::chrono::milliseconds(2'000);
+        /// unavailable. Entries expire after three missed announcements, 1.2 s apart, so
+        /// that no entry of a live endpoint expires in a shorter outage.
+        duration outage_threshold = std::chrono::milliseconds(2'400);
     };
 
     /// Constructs an empty catalog.
     explicit endpoint_catalog(options values) : options_(values) {}
 
     /// Applies a full listing of the given revision and returns the changes. A listing
-    /// older than the last one is ignored.
-    std::vector<endpoint_event> apply_listing(time_point now, std::uint64_t revision,
+    /// older than the last one is ignored. `listed_at` is when the listing was read from
+    /// service discovery, by this host or by the one that relayed it.
+    std::vector<endpoint_event> apply_listing(time_point listed_at,
+                                              std::uint64_t revision,
                                               std::vector<endpoint_announcement> listing);
 
     /// Returns the endpoint with this identifier, or null.
@@ -76,7 +79,8 @@
         return revision_;
     }
 
-    /// Time of the last listing; empty before the first one.
+    /// When the last listing was read from service discovery; empty before the first
+    /// one.
     [[nodiscard]] std::optional<time_point> listed_at() const noexcept
     {
         return listed_at_;
@@ -90,7 +94,7 @@
     std::map<endpoint_id, endpoint_announcement> endpoints_;
     std::uint64_t revision_ = 0;
     std::optional<time_point> listed_at_;
-    // Missing entries are kept until this time, after an outage
+    // Missing entries of listings read before this time are kept, after an outage
     time_point keep_missing_until_{};
 };
 
--- a/marjorampath/peer/relay_choice.cpp
+++ b/marjorampath/peer/relay_choice.cpp
@@ -12,9 +12,9 @@
 namespace
 {
 
-// Listings whose ages differ by at most this are equivalent: half of the default
-// `listing_interval` of the entry nodes
-constexpr duration listing_age_tolerance = std::chrono::milliseconds(400);
+// Listings whose ages differ by at most this are equivalent. With a smaller tolerance
+// most hosts read from the few that read the store, whose links are too slow for that.
+constexpr duration listing_age_tolerance = std::chrono::milliseconds(800);
 
 duration effective_listing_age(peer_heartbeat const& heartbeat, relay_query const& own)
 {
@@ -22,11 +22,27 @@
                                       : heartbeat.listing_age + own.other_zone_penalty;
 }
 
+// Removes the candidates in other zones if there are any in this host's zone
+void keep_same_zone(peer_table const& peers, relay_query const& own,
+                    std::vector<host_id>& candidates)
+{
+    auto const is_same = [&](host_id host)
+    { return peers.peers().at(host).last_heartbeat.zone == own.zone; };
+    if (std::any_of(candidates.begin(), candidates.end(), is_same))
+        std::erase_if(candidates, [&](host_id host) { return !is_same(host); });
+}
+
 // The address of the candidate that this host reads from, or nothing if there is none
 std::optional<peer_address> choose_address(peer_table const& peers,
                                            relay_query const& own,
-                                           std::vector<host_id> const& candidates)
+                                           std::vector<host_id> candidates)
 {
+    if (candidates.size() > 1)
+        std::erase_if(candidates,
+                      [&](host_id host) {
+                          return peers.peers().at(host).last_heartbeat.address ==
+                                 own.failed_relay;
+                      });
     auto const chosen = rendezvous_choice(own.host, std::span<host_id const>(candidates));
     if (!chosen)
         return std::nullopt;
@@ -66,6 +82,7 @@
                 listing_age_tolerance)
             listing_candidates.push_back(heartbeat->host);
     }
+    keep_same_zone(peers, own, listing_candidates);
     return {.operator_update = choose_address(peers, own, operator_candidates),
             .listing = choose_address(peers, own, listing_candidates)};
 }
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -53,7 +53,7 @@
     /// Age of this host's listing beyond which a peer's is read. Together with the
     /// intervals of reads and heartbeats, all hosts learn of a leaving endpoint
     /// within 2.5 s.
-    duration max_listing_age = std::chrono::milliseconds(600);
+    duration max_listing_age = std::chrono::milliseconds(1'500);
     /// Added to the age of the listing of a peer in another zone, because traffic between
     /// zones is charged.
     duration other_zone_penalty = std::chrono::milliseconds(900);
@@ -93,6 +93,8 @@
 private:
     // Path at which hosts relay the operator's data; the revision to start after follows
     static constexpr std::string_view operator_relay_path = "/relay/operator?after=";
+    // Header with the age of a relayed listing, in milliseconds
+    static constexpr char const* listing_age_header = "Listing-Age-Ms";
     // Largest answer that is read from a peer, in bytes: a megabyte of configuration and
     // thousands of adapter versions
     static constexpr std::size_t max_relay_answer_bytes = 8'000'000;
@@ -100,6 +102,15 @@
     using engine_client = typename Platform::engine_client;
     using view_source = typename Platform::view_source;
 
+    // Contents of the store that a peer relayed
+    struct relayed_contents
+    {
+        // The peer's answer; empty if the read failed
+        std::string body;
+        // Time since they were read from the store
+        duration age{0};
+    };
+
     // Makes the state that the exchanges share
     entry_context make_context();
     // Makes the settings and callbacks of the fleet membership
@@ -118,9 +129,11 @@
     boost::asio::awaitable<void> watch_operator();
     // Reads a peer's copy of the store's data if it is newer than this host's
     boost::asio::awaitable<void> read_peer_view();
-    // Reads one path from a peer's relay address; an empty string if that fails
-    boost::asio::awaitable<std::string> fetch_from_peer(peer_address peer,
-                                                        std::string path);
+    // Reads one path from a peer's relay address
+    boost::asio::awaitable<relayed_contents> fetch_from_peer(peer_address peer,
+                                                             std::string path);
+    // The age that a peer's answer states; the largest accepted one if it states none
+    [[nodiscard]] duration relayed_age(http_fetch_result const& fetched) const;
     // Applies a listing of the endpoints
     void apply_listing(endpoint_listing listing, std::string_view source);
     // Applies an update of the operator's data
@@ -218,6 +231,8 @@
     entry_fleet fleet_;
     // Last listing as text for other hosts
     std::string relayed_listing_;
+    // Host from which the last read of its view failed
+    std::optional<peer_address> failed_relay_;
     // Revision after which the operator's data is watched; zero to read all of it
     std::uint64_t watched_revision_ = 0;
     // Requests of other hosts in flight at plain endpoints
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -231,6 +231,10 @@
     else if (path == "/relay/endpoints")
     {
         answer.body() = relayed_listing_;
+        if (catalog_.listed_at())
+            answer.set(
+                listing_age_header,
+                fmt::to_string((boot_now() - *catalog_.listed_at()).count() / 1'000'000));
     }
     else if (path.starts_with(operator_relay_path))
     {
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <marjorampath/core/time.hpp>
 #include <marjorampath/deployment/adapter_version.hpp>
 #include <marjorampath/deployment/deployment.hpp>
 #include <marjorampath/deployment/endpoint_announcement.hpp>
@@ -25,6 +26,8 @@
     std::error_code error;
     /// Revision of the store that the listing reflects.
     std::uint64_t revision = 0;
+    /// When it was read from the store, by this host or by the one that relayed it.
+    time_point listed_at;
     std::vector<endpoint_announcement> endpoints;
     /// Keys of entries that are not a valid endpoint.
     std::vector<std::string> ignored;
--- a/tests/unit/deployment/deployment_test.cpp
+++ b/tests/unit/deployment/deployment_test.cpp
@@ -74,6 +74,14 @@
     BOOST_TEST(catalog.find(endpoint_id::of("e")));
 }
 
+BOOST_AUTO_TEST_CASE(a_listing_that_was_relayed_late_does_not_set_the_age_back)
+{
+    endpoint_catalog catalog({});
+    catalog.apply_listing(at(2s), 10, {announce("e", 10)});
+    catalog.apply_listing(at(1s), 10, {announce("e", 10)});
+    BOOST_TEST((catalog.listed_at() == at(2s)));
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_endpoint_stays_draining_until_it_restarts)
 {
     endpoint_catalog catalog({});
--- a/tests/unit/peer/relay_choice_test.cpp
+++ b/tests/unit/peer/relay_choice_test.cpp
@@ -96,6 +96,33 @@
     BOOST_TEST(!silent.listing);
 }
 
+BOOST_AUTO_TEST_CASE(a_relay_whose_last_read_failed_is_chosen_only_if_there_is_no_other)
+{
+    time_point const now{1'000s};
+    auto const table = make_table(50, now);
+    relay_query query{.host = host_of(50),
+                      .zone = zone_id::of("z"),
+                      .operator_revision = 10,
+                      .listing_revision = 100};
+    auto const first = choose_relays(table, query, now);
+    BOOST_REQUIRE(first.listing);
+    query.failed_relay = first.listing;
+    auto const second = choose_relays(table, query, now);
+    BOOST_REQUIRE(second.listing);
+    BOOST_TEST((*second.listing != *first.listing));
+
+    // Only one host has news
+    peer_table single({.host = host_of(50), .address = address_of(50)}, {}, {});
+    single.on_heartbeat({.host = host_of(1),
+                         .zone = zone_id::of("z"),
+                         .incarnation = 1,
+                         .address = address_of(1),
+                         .listing_revision = 200},
+                        now);
+    query.failed_relay = address_of(1);
+    BOOST_TEST((choose_relays(single, query, now).listing == address_of(1)));
+}
+
 BOOST_AUTO_TEST_CASE(ninety_hosts_send_heartbeats_twice_a_second)
 {
     time_point const now{1'000s};
