Split what the load planner learns from reports into functions and a file of its own

Cause: with the state of reported adapters on_report had grown to fifty lines, and the file to over 560. Change: keep_recent_orders, on_reported_loaded and on_reported_loading; reports, usage and statuses in load_planner_reports.cpp. No change of behaviour.

--- a/marjorampath/adapter_load/load_planner.cpp
+++ b/marjorampath/adapter_load/load_planner.cpp
@@ -1,8 +1,6 @@
 #include <marjorampath/adapter_load/load_planner.hpp>
 
 #include <algorithm>
-#include <cmath>
-#include <utility>
 
 namespace marjorampath
 {
@@ -10,9 +8,6 @@
 namespace
 {
 
-// Scores below this are removed
-constexpr double min_score = 0.01;
-
 std::string model_of(std::string const& adapter)
 {
     return adapter.substr(0, adapter.find('/'));
@@ -123,84 +118,6 @@
            target.reported && !target.announced.draining && definition(target);
 }
 
-void load_planner::on_report(engine_report const& report, time_point requested_at,
-                             time_point now)
-{
-    auto const found = engines_.find(report.endpoint);
-    if (found == engines_.end() ||
-        found->second.announced.started_at_ms != report.started_at_ms ||
-        requested_at < found->second.reports_valid_from)
-        return;
-    auto& target = found->second;
-    target.reported = true;
-    target.is_loading_model = report.is_loading_model;
-    target.models = report.models;
-    target.last_report_at = requested_at;
-
-    // Recent orders may not show in the report yet: their adapters are kept as they are
-    auto const settled = requested_at - options_.report_lag;
-    auto known = std::exchange(target.adapters, {});
-    for (auto const& [name, adapter] : known)
-        if (has_pending_order(target, name) ||
-            (adapter.ordered_at && *adapter.ordered_at >= settled))
-            target.adapters.emplace(name, adapter).first->second.reported =
-                reported_state::absent;
-    std::erase_if(target.unloaded,
-                  [&](auto const& entry) { return entry.second < settled; });
-    for (auto const& adapter : report.adapters)
-    {
-        if (target.unloaded.contains(adapter.name))
-            continue;
-        auto const ready_at = std::min(known[adapter.name].ready_at, now);
-        auto& entry =
-            target.adapters
-                .try_emplace(adapter.name, adapter_entry{.version = adapter.version,
-                                                         .ready_at = ready_at})
-                .first->second;
-
-        // An older version stays listed until its replacement is loaded
-        if (adapter.version >= entry.version)
-            entry.reported = reported_state::loaded;
-    }
-    // The start of these loads is unknown: assume that half of the load time is left
-    for (auto const& adapter : report.loading_adapters)
-    {
-        auto const [entry, added] = target.adapters.try_emplace(
-            adapter.name, adapter_entry{.version = adapter.version,
-                                        .ready_at = now + load_time(now) / 2});
-        entry->second.reported = reported_state::loading;
-    }
-}
-
-void load_planner::on_usage(host_id host, endpoint_usage const& usage, time_point now)
-{
-    auto const found = engines_.find(usage.endpoint);
-    if (found == engines_.end())
-        return;
-    auto& target = found->second;
-    for (auto const& adapter : usage.adapters)
-    {
-        if (adapter.sent == 0)
-            continue;
-        auto const decayed = score(target, adapter.name, now);
-        target.scores[adapter.name] = {decayed + adapter.sent, now};
-    }
-    target.usages[host] = {usage, now};
-    std::erase_if(target.scores, [&](auto const& entry)
-                  { return score(target, entry.first, now) < min_score; });
-}
-
-double load_planner::score(engine const& target, std::string const& adapter,
-                           time_point now) const
-{
-    auto const found = target.scores.find(adapter);
-    if (found == target.scores.end())
-        return 0;
-    auto const half_lives = std::chrono::duration<double>(now - found->second.changed) /
-                            std::chrono::duration<double>(options_.use_half_life);
-    return found->second.score * std::exp2(-half_lives);
-}
-
 void load_planner::on_version(std::string const& adapter, std::uint64_t version)
 {
     auto& known = versions_[adapter];
@@ -250,23 +167,6 @@
         {.kind = order_kind::load_model, .model_or_adapter = fewest->name});
 }
 
-bool load_planner::in_use(engine const& target, std::string const& adapter,
-                          time_point now) const
-{
-    return std::any_of(target.usages.begin(), target.usages.end(),
-                       [&](auto const& entry)
-                       {
-                           if (now - entry.second.at > options_.usage_expiry)
-                               return false;
-                           auto const& used = entry.second.usage.adapters;
-                           return std::any_of(used.begin(), used.end(),
-                                              [&](auto const& each) {
-                                                  return each.name == adapter &&
-                                                         each.in_flight > 0;
-                                              });
-                       });
-}
-
 std::optional<std::string> load_planner::eviction_candidate(engine const& target,
                                                             time_point now) const
 {
@@ -498,50 +398,4 @@
     }
 }
 
-engine_status load_planner::status(endpoint_id id, engine const& target,
-                                   time_point now) const
-{
-    engine_status status{
-        .endpoint = id,
-        .started_at_ms = target.announced.started_at_ms,
-        .accepts_orders = accepts_orders(target, now),
-        .accepts_orders_in = std::max(duration{0}, target.orders_allowed_from - now),
-        .free_adapter_slots = free_adapter_slots(target),
-        .models = target.reported ? target.models : target.announced.models};
-    for (auto const& [host, reported] : target.usages)
-    {
-        if (now - reported.at > options_.usage_expiry)
-            continue;
-        status.in_flight += reported.usage.in_flight;
-        status.waiting_tokens += reported.usage.waiting_tokens;
-        status.tokens += reported.usage.tokens;
-    }
-    for (auto const& [name, adapter] : target.adapters)
-        if (!adapter.evicting)
-            status.adapters.push_back(
-                {.name = name,
-                 .version = adapter.version,
-                 .ready_in = std::max(duration{0}, adapter.ready_at - now),
-                 .requests = score(target, name, now)});
-    return status;
-}
-
-std::vector<engine_status> load_planner::statuses(time_point now) const
-{
-    std::vector<engine_status> found;
-    for (auto const& [id, target] : engines_)
-        if (target.fencing_number != 0)
-            found.push_back(status(id, target, now));
-    return found;
-}
-
-std::optional<engine_status> load_planner::status_of(endpoint_id endpoint,
-                                                     time_point now) const
-{
-    auto const found = engines_.find(endpoint);
-    if (found == engines_.end() || found->second.fencing_number == 0)
-        return std::nullopt;
-    return status(endpoint, found->second, now);
-}
-
 } // namespace marjorampath
--- a/marjorampath/adapter_load/load_planner.hpp
+++ b/marjorampath/adapter_load/load_planner.hpp
@@ -110,6 +110,9 @@
         reported_state reported = reported_state::absent;
     };
 
+    // Adapters of an engine by name
+    using adapter_map = std::map<std::string, adapter_entry>;
+
     /// Recent use of an adapter.
     struct use_score
     {
@@ -158,7 +161,7 @@
         // Loaded base models
         std::vector<std::string> models;
         // Loaded and loading adapters by name
-        std::map<std::string, adapter_entry> adapters;
+        adapter_map adapters;
         // Adapters that were unloaded, and when; delayed reports may still list them
         std::map<std::string, time_point> unloaded;
         // Pending orders, the next one first; the first may have been sent already
@@ -171,6 +174,17 @@
         std::map<host_id, host_usage> usages;
     };
 
+    // Keeps the adapters whose orders a report that was requested at this time may not
+    // show
+    void keep_recent_orders(engine& target, adapter_map const& known,
+                            time_point requested_at) const;
+    // Handles an adapter that a report lists as loaded; `known` has the adapters before
+    // it
+    static void on_reported_loaded(engine& target, versioned_adapter const& adapter,
+                                   adapter_map const& known, time_point now);
+    // Handles an adapter that a report lists as being loaded
+    void on_reported_loading(engine& target, versioned_adapter const& adapter,
+                             time_point now) const;
     // The definition of an engine's service, or null if the service is unknown
     [[nodiscard]] engine_definition const* definition(engine const& target) const;
     // Whether orders may be sent to an engine now
