--- a/tests/unit/adapter_load/load_planner_test.cpp
+++ b/tests/unit/adapter_load/load_planner_test.cpp
@@ -125,7 +125,13 @@
     {
         planner.on_lease(announced.id, 5, false, now);
         now += 3'200ms;
-        planner.on_report(engine.report(now, 0ms), now, now);
+        read_report();
+    }
+
+    // Passes the engine's state of `lag` ago to the planner
+    void read_report(duration lag = 0ms)
+    {
+        planner.on_report(engine.report(now, lag), now, now);
     }
 
     bool request_load(std::string const& adapter)
@@ -161,10 +167,10 @@
 BOOST_AUTO_TEST_CASE(no_order_is_sent_before_the_takeover_delay_is_over)
 {
     planner.on_lease(announced.id, 5, false, now);
-    planner.on_report(engine.report(now, 0ms), now, now);
+    read_report();
     BOOST_TEST(!request_load("m/a1"));
     now += 3'000ms;
-    planner.on_report(engine.report(now, 0ms), now, now);
+    read_report();
     BOOST_TEST(!request_load("m/a1"));
     now += 150ms;
     BOOST_TEST(request_load("m/a1"));
@@ -208,7 +214,7 @@
         now += 300ms;
     }
     now += 1s;
-    planner.on_report(engine.report(now, 0ms), now, now);
+    read_report();
 
     // a0 has a request in flight, a1 is rarely used, the others often
     endpoint_usage usage{.endpoint = announced.id};
@@ -257,7 +263,7 @@
 
     // Once the report lists them as loaded, the least used one is evicted
     now += 4s;
-    planner.on_report(engine.report(now, 0ms), now, now);
+    read_report();
     BOOST_TEST(request_load("m/new"));
     execute_orders();
     BOOST_TEST(!engine.too_many_adapters);
@@ -292,7 +298,7 @@
     request_load("m/a1");
     execute_orders();
     now += 2s;
-    planner.on_report(engine.report(now, 0ms), now, now);
+    read_report();
     planner.on_version("m/a1", 2);
     auto const orders = planner.next_orders(now);
     BOOST_REQUIRE(orders.size() == 1u);
@@ -328,10 +334,7 @@
                 fixture.planner.on_order_done(order, result, fixture.now);
             }
             if (random() % 8 == 0)
-                fixture.planner.on_report(
-                    fixture.engine.report(fixture.now,
-                                          std::chrono::milliseconds(random() % 300)),
-                    fixture.now, fixture.now);
+                fixture.read_report(std::chrono::milliseconds(random() % 300));
         }
         BOOST_TEST(!fixture.engine.too_many_adapters, "seed " << seed);
     }
@@ -352,10 +355,7 @@
             fixture.request_load(fmt::format("m/a{}", random() % 60));
             fixture.execute_orders();
             if (random() % 30 == 0)
-                fixture.planner.on_report(
-                    fixture.engine.report(fixture.now,
-                                          std::chrono::milliseconds(random() % 300)),
-                    fixture.now, fixture.now);
+                fixture.read_report(std::chrono::milliseconds(random() % 300));
         }
         BOOST_TEST(!fixture.engine.too_many_adapters, "seed " << seed);
     }
