--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -165,10 +165,11 @@
     event_entry{request_decided, info, "request_decided",
                 "A request was assigned to an endpoint, or waits for an adapter; "
                 "`expected_ms` is the expected time to the first byte."},
-    event_entry{attempt_ended, info, "attempt_ended",
-                "An attempt to run a request at an endpoint ended; `end` says how. `limit` is "
-                "the endpoint's limit on its request rate when the attempt began, -1 for "
-                "none."},
+    event_entry{
+        attempt_ended, info, "attempt_ended",
+        "An attempt to run a request at an endpoint ended; `end` says how. `limit` is "
+        "the endpoint's limit on its request rate when the attempt began, -1 for "
+        "none."},
     event_entry{request_answered, info, "request_answered",
                 "The endpoint's answer was delivered to the caller."},
     event_entry{request_rejected, info, "request_rejected",
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -34,4 +34,17 @@
     BOOST_TEST(runs > 0);
 }
 
+// Endpoints that named a request rate got several times as many requests, as each node
+// chose them by their queues alone
+BOOST_AUTO_TEST_CASE(endpoints_get_no_more_than_the_rate_that_they_named)
+{
+    auto const folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    constexpr unsigned seed = 4001;
+    auto const command = fmt::format("{} --seed {} --seconds 8 --limits 3 --gap 4000",
+                                     (folder / "marjorampath-soak").string(), seed);
+    auto const status = std::system(command.c_str());
+    BOOST_TEST(WIFEXITED(status), "seed " << seed);
+    BOOST_TEST(WEXITSTATUS(status) == 0, "seed " << seed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -61,6 +61,10 @@
                                          command);
     TCLAP::ValueArg<std::size_t> callers("", "callers", "Callers at each node", false, 4,
                                          "number", command);
+    TCLAP::ValueArg<int> limits("", "limits", "Endpoints that limit their request rate",
+                                false, 1, "number", command);
+    TCLAP::ValueArg<int> gap("", "gap", "Mean time between faults", false, 400,
+                             "milliseconds", command);
     TCLAP::SwitchArg keep("", "keep", "Keep logs and records of passed seeds too",
                           command);
     command.parse(argc, argv);
@@ -72,7 +76,9 @@
     {
         soak_options options{
             .schedule = {.seed = seed.getValue() + index,
-                         .span = std::chrono::seconds(seconds.getValue())},
+                         .span = std::chrono::seconds(seconds.getValue()),
+                         .mean_gap = std::chrono::milliseconds(gap.getValue()),
+                         .limits = limits.getValue()},
             .fleet = {.nodes = nodes.getValue(), .engines = engines.getValue()},
             .callers = callers.getValue()};
         kept = run_seed(options, keep.getValue()) && kept;
--- a/tests/soak/soak_check.hpp
+++ b/tests/soak/soak_check.hpp
@@ -29,6 +29,18 @@
     std::int64_t at_ms = 0;
 };
 
+/// A time in which faults may delay what a node sends or receives.
+struct disrupted_node
+{
+    /// Index of the node.
+    std::size_t node = 0;
+    /// Name of the endpoint on whose link only it is disrupted; empty for all.
+    std::string endpoint;
+    /// Begin and end, in milliseconds of the host's monotonic clock.
+    std::int64_t from_ms = 0;
+    std::int64_t to_ms = 0;
+};
+
 /// The observations that the promises are checked against.
 struct soak_evidence
 {
@@ -38,6 +50,8 @@
     std::vector<std::string> records;
     /// Versions in the order of their announcement.
     std::vector<announced_version> versions;
+    /// Times in which a node may use more of a limited rate than its share.
+    std::vector<disrupted_node> disruptions;
     /// Endpoints that announced that they leave.
     std::vector<announced_leave> leaves;
 };
--- a/tests/soak/soak_fault.cpp
+++ b/tests/soak/soak_fault.cpp
@@ -16,7 +16,7 @@
 // Largest target number; above any count, since targets are taken modulo their count
 constexpr std::size_t max_target = 5'040;
 
-constexpr std::array<std::string_view, 15> names{
+constexpr std::array<std::string_view, 16> names{
     "link_delay",         "link_reset",
     "link_silence",       "link_cut_to_target",
     "link_cut_to_caller", "endpoint_pause",
@@ -24,7 +24,13 @@
     "node_pause",         "node_kill",
     "node_stop",          "node_reload",
     "store_pause",        "configuration_change",
-    "version_change"};
+    "version_change",     "endpoint_limit"};
+
+// Kinds that are drawn at random times, the first ones of `names`
+constexpr int drawn_kinds = 15;
+// Bounds of a limit, in requests per second
+constexpr int min_limit = 1;
+constexpr int max_limit = 4;
 
 } // namespace
 
@@ -46,12 +52,19 @@
     while (at < options.span)
     {
         schedule.push_back(
-            {.kind = static_cast<fault_kind>(draw(0, static_cast<int>(names.size()) - 1)),
+            {.kind = static_cast<fault_kind>(draw(0, drawn_kinds - 1)),
              .at = at,
              .duration = std::chrono::milliseconds(draw(min_fault_ms, max_fault_ms)),
              .target = static_cast<std::size_t>(draw(0, max_target))});
         at += std::chrono::milliseconds(draw(0, max_gap_ms));
     }
+    auto const last_limit_ms = static_cast<int>(options.span.count()) / 4;
+    for (int limit = 0; limit < options.limits; ++limit)
+        schedule.push_back({.kind = fault_kind::endpoint_limit,
+                            .at = std::chrono::milliseconds(draw(0, last_limit_ms)),
+                            .duration = limit_duration,
+                            .rate = static_cast<double>(draw(min_limit, max_limit)),
+                            .target = static_cast<std::size_t>(draw(0, max_target))});
     return schedule;
 }
 
--- a/tests/soak/soak_fault.hpp
+++ b/tests/soak/soak_fault.hpp
@@ -42,7 +42,9 @@
     /// The operator publishes a configuration.
     configuration_change,
     /// The operator announces a version of an adapter.
-    version_change
+    version_change,
+    /// An endpoint names a limit on its request rate in its answers.
+    endpoint_limit
 };
 
 /// Name of a fault kind.
@@ -57,10 +59,16 @@
     std::chrono::milliseconds at{0};
     /// Duration; ignored by kinds that happen at an instant.
     std::chrono::milliseconds duration{0};
+    /// Requests per second; only for a limit.
+    double rate = 0;
     /// Index of the link, endpoint, node or adapter, taken modulo their count.
     std::size_t target = 0;
 };
 
+/// Duration of a limit: the time until all hosts must keep it, and one and a half windows
+/// over which the requests are counted.
+inline constexpr std::chrono::milliseconds limit_duration{10'000};
+
 /// Parameters of a random schedule.
 struct schedule_options
 {
@@ -70,11 +78,14 @@
     std::chrono::milliseconds span{10'000};
     /// Mean time between the starts of two faults.
     std::chrono::milliseconds mean_gap{400};
+    /// Number of endpoints that name a limit on their request rate.
+    int limits = 1;
     /// Longest duration of a fault.
     std::chrono::milliseconds max_duration{3'000};
 };
 
-/// Returns a random schedule in order of start times; faults may overlap.
+/// Returns a random schedule; faults may overlap. The last ones are limits, each of which
+/// lasts for `limit_duration`.
 std::vector<soak_fault> generate_schedule(schedule_options const& options);
 
 } // namespace marjorampath::test
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -144,6 +144,17 @@
          "{\"draining\": true}");
 }
 
+void soak_fleet::limit_endpoint(std::size_t index, std::optional<double> rate)
+{
+    // A paused process does not answer; the fault that paused it is over then
+    endpoints[index].process->signal(SIGCONT);
+    boost::json::object values{{"rate_limit", nullptr}};
+    if (rate)
+        values["rate_limit"] = *rate;
+    call(endpoints[index].process->address(), "POST", "/standin/set",
+         boost::json::serialize(values));
+}
+
 void soak_fleet::put(std::string const& key, std::string const& value) const
 {
     auto const answer = call(store->address(), "PUT", "/standin/put?key=" + key, value);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -66,6 +67,8 @@
     void start_node(std::size_t index);
     /// Makes an endpoint announce that it leaves.
     void drain_endpoint(std::size_t index);
+    /// Makes an endpoint name a limit on its request rate, or none any more.
+    void limit_endpoint(std::size_t index, std::optional<double> rate);
     /// Announces the next version of an adapter and returns its number.
     std::uint64_t announce_version(std::string const& adapter);
     /// Publishes the configuration under its next version.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,3 +1,4 @@
+#include <tests/soak/limit_check.hpp>
 #include <tests/soak/monotonic_time.hpp>
 #include <tests/soak/soak_run.hpp>
 
@@ -91,6 +92,8 @@
     evidence_.records = fleet_.records();
     for (auto& breach : check_promises(evidence_))
         breaches_.push_back(std::move(breach));
+    for (auto& breach : check_limits(evidence_))
+        breaches_.push_back(std::move(breach));
     return breaches_;
 }
 
@@ -139,6 +142,8 @@
     case fault_kind::endpoint_kill:
     case fault_kind::endpoint_drain:
         return inject_endpoint_fault(fault);
+    case fault_kind::endpoint_limit:
+        return inject_limit(fault);
     case fault_kind::node_pause:
     case fault_kind::node_kill:
     case fault_kind::node_stop:
@@ -155,6 +160,14 @@
 {
     auto const all = fleet_.links();
     auto* link = all[fault.target % all.size()];
+
+    // Requests that a link to an endpoint holds back reach it together
+    auto const first_endpoint = all.size() - fleet_.endpoints.size();
+    if (fault.target % all.size() >= first_endpoint)
+        for (std::size_t node = 0; node < fleet_.nodes.size(); ++node)
+            note_disruption(
+                node, fault.duration,
+                fleet_.endpoint_name(fault.target % all.size() - first_endpoint));
     if (fault.kind == fault_kind::link_reset)
         return link->reset();
     link->set_state(fault.kind == fault_kind::link_delay     ? link_state::delayed
@@ -165,6 +178,24 @@
     schedule_after(fault.duration, [link] { link->set_state(link_state::open); });
 }
 
+void soak_run::inject_limit(soak_fault const& fault)
+{
+    auto const index = fault.target % fleet_.endpoints.size();
+    fleet_.limit_endpoint(index, fault.rate);
+    schedule_after(fault.duration,
+                   [this, index] { fleet_.limit_endpoint(index, std::nullopt); });
+}
+
+void soak_run::note_disruption(std::size_t node, std::chrono::milliseconds time,
+                               std::string const& endpoint)
+{
+    auto const now = monotonic_ms();
+    evidence_.disruptions.push_back({.node = node,
+                                     .endpoint = endpoint,
+                                     .from_ms = now,
+                                     .to_ms = now + time.count()});
+}
+
 void soak_run::inject_endpoint_fault(soak_fault const& fault)
 {
     auto const index = fault.target % fleet_.endpoints.size();
@@ -187,6 +218,8 @@
     if (fault.kind == fault_kind::endpoint_pause)
     {
         process->signal(SIGSTOP);
+        for (std::size_t node = 0; node < fleet_.nodes.size(); ++node)
+            note_disruption(node, fault.duration, fleet_.endpoint_name(index));
         schedule_after(fault.duration, [this, index]
                        { fleet_.endpoints[index].process->signal(SIGCONT); });
     }
@@ -212,6 +245,9 @@
     // Before `main` runs, any signal ends a process, which the program cannot prevent
     if (stopping_.contains(index) || !process.handles_or_blocks(SIGTERM))
         return;
+    if (fault.kind != fault_kind::node_reload)
+        note_disruption(index, fault.kind == fault_kind::node_pause ? fault.duration
+                                                                    : shutdown_timeout);
     if (fault.kind == fault_kind::node_pause)
     {
         process.signal(SIGSTOP);
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -385,6 +385,31 @@
     entry.run_until([&] { return entry.servers[0]->abandoned == 1; });
 }
 
+// The nearer endpoint got every request although it had named a limit
+BOOST_AUTO_TEST_CASE(an_endpoint_gets_no_more_requests_than_the_rate_that_it_named)
+{
+    constexpr int request_count = 40;
+    // One and a half times one request a second over four seconds, and five more
+    constexpr std::size_t allowed = 11;
+    std::deque<scripted_answer> limited;
+    std::deque<scripted_answer> unlimited;
+    for (int request = 0; request < request_count; ++request)
+    {
+        limited.push_back({sealed("near", "Server-Limit: 1\r\n")});
+        unlimited.push_back({sealed("far")});
+    }
+    entry_fixture entry(std::move(limited), std::move(unlimited));
+    auto const begin = boot_now();
+    for (int request = 0; request < request_count; ++request)
+    {
+        entry.done = false;
+        BOOST_TEST(
+            entry.send_request(http::verb::get, "/safe/x").starts_with("HTTP/1.1 200"));
+    }
+    BOOST_REQUIRE((boot_now() - begin < 4s));
+    BOOST_TEST(entry.servers[0]->requests.size() <= allowed);
+}
+
 BOOST_AUTO_TEST_CASE(a_convicted_request_is_refused_everywhere)
 {
     entry_fixture entry({}, {});
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -245,9 +245,9 @@
         BOOST_TEST(read.rate == rate);
     }
     for (auto const* text : {"-1", "nan", "inf", "1e3", "1 per second", "x"})
-        BOOST_TEST(
-            (request_dialect::rate_limit(make_head(200, {{"Server-Limit", text}})).state ==
-             state::invalid));
+        BOOST_TEST((
+            request_dialect::rate_limit(make_head(200, {{"Server-Limit", text}})).state ==
+            state::invalid));
 }
 
 BOOST_AUTO_TEST_CASE(error_answers_carry_retry_after_and_status)
