--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr double rate_weight = 0.15;
 // Number of prompt parts per engine above which old ones are removed
 constexpr std::size_t max_prompt_parts = 4'096;
+// Lowest rate that a limit counts as, in requests per second
+constexpr double min_permit_rate = 0.1;
 // First pause before a late adapter is tried again; doubled with each further refusal
 constexpr duration first_retry_pause = std::chrono::milliseconds(60);
 // Longest pause before a late adapter is tried again; also the largest ready margin
@@ -139,6 +141,36 @@
     return found == versions_.end() ? 0 : found->second;
 }
 
+void dispatcher::set_rate_limit(endpoint_id endpoint, std::optional<double> limit)
+{
+    if (limit)
+        rate_limits_[endpoint].rate = *limit;
+    else
+        rate_limits_.erase(endpoint);
+}
+
+void dispatcher::on_permit_refused(endpoint_id endpoint, time_point until)
+{
+    auto const found = rate_limits_.find(endpoint);
+    if (found != rate_limits_.end())
+        found->second.next_permit_at = until;
+}
+
+bool dispatcher::is_rate_limited(endpoint_id endpoint, time_point now) const
+{
+    auto const found = rate_limits_.find(endpoint);
+    return found != rate_limits_.end() && found->second.next_permit_at > now;
+}
+
+duration dispatcher::permit_interval(endpoint_id endpoint) const
+{
+    auto const found = rate_limits_.find(endpoint);
+    if (found == rate_limits_.end())
+        return duration{0};
+    auto const rate = std::max(found->second.rate, min_permit_rate);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / rate));
+}
+
 endpoint_view const* dispatcher::find(endpoint_id endpoint) const
 {
     auto const found = endpoints_.find(endpoint);
--- a/marjorampath/dispatch/dispatcher.hpp
+++ b/marjorampath/dispatch/dispatcher.hpp
@@ -57,6 +57,13 @@
     /// is known to be older are no longer used. An unknown version counts as usable.
     void on_version(std::string const& adapter, std::uint64_t version);
 
+    /// Sets the limit on the rate of requests from all hosts to an endpoint, in requests
+    /// per second; empty for none.
+    void set_rate_limit(endpoint_id endpoint, std::optional<double> limit);
+
+    /// Notes that no permit for a request to a limited endpoint can be had before a time.
+    void on_permit_refused(endpoint_id endpoint, time_point until);
+
     /// Decides the next step for a request. Endpoints in `tried` are not used again.
     dispatch_decision decide(call const& request, std::span<endpoint_id const> tried,
                              time_point now);
@@ -114,6 +121,15 @@
         }
     };
 
+    // Limit on the request rate of an endpoint
+    struct rate_limit_state
+    {
+        // Requests per second
+        double rate = 0;
+        // Before this time no permit for a request can be had
+        time_point next_permit_at{};
+    };
+
     // Engines that hold the requested model
     struct model_choice
     {
@@ -129,6 +145,17 @@
                                            std::span<endpoint_id const> tried,
                                            time_point now);
 
+    // Whether no permit for a request to an endpoint can be had now
+    [[nodiscard]] bool is_rate_limited(endpoint_id endpoint, time_point now) const;
+
+    // Retry delay for a caller for whose request no endpoint was found: the time until
+    // the first permit, if endpoints have reached their limit
+    [[nodiscard]] duration no_endpoint_retry_pause(service_id service,
+                                                   time_point now) const;
+
+    // Expected time until a new request gets a permit for an endpoint
+    [[nodiscard]] duration permit_interval(endpoint_id endpoint) const;
+
     // Decides the next step for a request to a plain service
     dispatch_decision decide_plain(call const& request, std::vector<candidate> found,
                                    time_point now);
@@ -221,6 +248,8 @@
     // Engine capacity of each model service
     std::map<service_id, engine_definition> model_services_;
     std::map<endpoint_id, endpoint_view> endpoints_;
+    // Limits in force, by endpoint
+    std::map<endpoint_id, rate_limit_state> rate_limits_;
     // Newest announced version by adapter
     std::map<std::string, std::uint64_t> versions_;
     // Added to the expected end of each load; adapts to how often requests are refused
--- a/marjorampath/dispatch/dispatcher_decide.cpp
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -45,7 +45,7 @@
     {
         auto const& announced = view.announced;
         if (announced.service != request.service || announced.draining ||
-            !view.breaker.allows(now) ||
+            !view.breaker.allows(now) || is_rate_limited(id, now) ||
             std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
         auto expected = failure_cost(view, request.objective) +
@@ -64,12 +64,27 @@
 {
     auto found = find_candidates(request, tried, now);
     if (found.empty())
-        return refuse(error_kind::no_endpoint, options_.retry_pause);
+        return refuse(error_kind::no_endpoint,
+                      no_endpoint_retry_pause(request.service, now));
     if (model_services_.contains(request.service))
         return decide_model(request, std::move(found), now);
     return decide_plain(request, std::move(found), now);
 }
 
+duration dispatcher::no_endpoint_retry_pause(service_id service, time_point now) const
+{
+    std::optional<time_point> first;
+    for (auto const& [id, limit] : rate_limits_)
+    {
+        auto const found = endpoints_.find(id);
+        if (found == endpoints_.end() || found->second.announced.service != service ||
+            found->second.announced.draining || limit.next_permit_at <= now)
+            continue;
+        first = std::min(first.value_or(limit.next_permit_at), limit.next_permit_at);
+    }
+    return first ? *first - now : options_.retry_pause;
+}
+
 dispatch_decision dispatcher::decide_plain(call const& request,
                                            std::vector<candidate> found, time_point now)
 {
@@ -132,6 +147,7 @@
         if (!request.adapter.empty() &&
             (!held || (held->version != 0 && held->version < required)))
         {
+            each.expected += permit_interval(view.announced.id);
             choice.absent.push_back(each);
             continue;
         }
--- a/marjorampath/limits/token_bucket.cpp
+++ b/marjorampath/limits/token_bucket.cpp
@@ -20,6 +20,22 @@
 {
 }
 
+token_bucket token_bucket::empty(double rate, double burst, time_point now) noexcept
+{
+    token_bucket made(rate, burst);
+    made.level_ = 0;
+    made.changed_ = now;
+    return made;
+}
+
+void token_bucket::set_rate(double rate, double burst, time_point now) noexcept
+{
+    level_ = std::min(level(now), burst);
+    changed_ = std::max(changed_, now);
+    rate_ = rate;
+    burst_ = burst;
+}
+
 double token_bucket::level(time_point now) const noexcept
 {
     std::chrono::duration<double> const passed = std::max(now - changed_, duration(0));
--- a/marjorampath/limits/token_bucket.hpp
+++ b/marjorampath/limits/token_bucket.hpp
@@ -12,6 +12,12 @@
     /// Creates a full bucket of `burst` tokens that refills at `rate` tokens per second.
     token_bucket(double rate, double burst) noexcept;
 
+    /// Creates a bucket that is empty at `now`.
+    static token_bucket empty(double rate, double burst, time_point now) noexcept;
+
+    /// Changes rate and capacity from `now` on; excess tokens are lost.
+    void set_rate(double rate, double burst, time_point now) noexcept;
+
     /// Whether at least one token is available.
     [[nodiscard]] bool available(time_point now) const noexcept;
 
--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/peer/endpoint_usage.hpp>
 #include <marjorampath/peer/engine_status.hpp>
+#include <marjorampath/rate_limit/rate_limit_notice.hpp>
 #include <marjorampath/suspect/conviction.hpp>
 
 #include <cstdint>
@@ -68,6 +69,9 @@
     std::vector<endpoint_usage> usage;
     /// Requests that were in flight when endpoints crashed.
     std::vector<conviction> convictions;
+    /// What endpoints said of the request rates that they accept; of those whose permits
+    /// the sender issues.
+    std::vector<rate_limit_notice> rate_limits;
 };
 
 } // namespace marjorampath
--- a/marjorampath/limits/rate_limit_registry.hpp
+++ b/marjorampath/rate_limit/rate_limit_registry.hpp
@@ -2,11 +2,12 @@
 
 #include <marjorampath/core/identifier.hpp>
 #include <marjorampath/core/time.hpp>
-#include <marjorampath/limits/rate_limit_notice.hpp>
+#include <marjorampath/rate_limit/rate_limit_notice.hpp>
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace marjorampath
 {
@@ -29,6 +30,15 @@
     /// The limit in force, in requests per second; empty for none.
     [[nodiscard]] std::optional<double> limit_of(endpoint_id endpoint) const;
 
+    /// The latest statement of an endpoint's process; one without a rate and of age zero
+    /// if none is known.
+    [[nodiscard]] rate_limit_notice notice_of(endpoint_id endpoint, time_point now) const;
+
+    /// The latest statements that other hosts may not know: limits in force, and those
+    /// that ended at most `max_ended_age` ago.
+    [[nodiscard]] std::vector<rate_limit_notice> notices(time_point now,
+                                                         duration max_ended_age) const;
+
 private:
     // Latest statement of one endpoint's process
     struct entry
@@ -37,6 +47,8 @@
         std::optional<double> rate;
         // When the answer arrived, or its request was sent if it named no limit
         time_point stated_at;
+        // When this host learnt of the present rate, or of its end
+        time_point changed_at;
     };
 
     std::map<endpoint_id, entry> entries_;
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -52,6 +52,26 @@
   adapters @4 :List(AdapterUsage);
 }
 
+struct RateLimit {
+  endpoint @0 :UInt64;
+  born @1 :UInt64;
+  limited @2 :Bool;
+  rate @3 :Float64;
+  age @4 :Int64;
+}
+
+struct PermitRequest {
+  number @0 :UInt64;
+  limit @1 :RateLimit;
+}
+
+struct PermitReply {
+  number @0 :UInt64;
+  granted @1 :Bool;
+  wait @2 :Int64;
+  limit @3 :RateLimit;
+}
+
 struct PeerBeat {
   host @0 :UInt64;
   zone @1 :UInt64;
@@ -67,6 +87,7 @@
   engines @11 :List(EngineStatus);
   usage @12 :List(EngineUsage);
   convictions @13 :List(Node.Conviction);
+  rateLimits @14 :List(RateLimit);
 }
 
 struct LoadRequest {
@@ -97,5 +118,8 @@
     loadReply @5 :LoadReply;
     usageReport @6 :UsageReport;
     engineStatus @7 :EngineStatus;
+    permitRequest @8 :PermitRequest;
+    permitReply @9 :PermitReply;
+    rateLimit @10 :RateLimit;
   }
 }
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -26,6 +26,9 @@
 CAPNP_DECLARE_SCHEMA(89022492fe0652b1);
 CAPNP_DECLARE_SCHEMA(ea93b619ed1638e5);
 CAPNP_DECLARE_SCHEMA(cdb86c6e0c714c92);
+CAPNP_DECLARE_SCHEMA(abdb41dcb222b28d);
+CAPNP_DECLARE_SCHEMA(e022f799a4795b16);
+CAPNP_DECLARE_SCHEMA(91c6683a75ec0c42);
 CAPNP_DECLARE_SCHEMA(971727d6bb86b28a);
 CAPNP_DECLARE_SCHEMA(96cbd4fe8a8c5b2b);
 CAPNP_DECLARE_SCHEMA(bd4bd6b5542b57b5);
@@ -128,6 +131,51 @@
   };
 };
 
+struct RateLimit {
+  RateLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(abdb41dcb222b28d, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e022f799a4795b16, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitReply {
+  PermitReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(91c6683a75ec0c42, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerBeat {
   PeerBeat() = delete;
 
@@ -136,7 +184,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 7, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 7, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -203,6 +251,9 @@
     LOAD_REPLY,
     USAGE_REPORT,
     ENGINE_STATUS,
+    PERMIT_REQUEST,
+    PERMIT_REPLY,
+    RATE_LIMIT,
   };
 
   struct _capnpPrivate {
@@ -808,6 +859,286 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateLimit::Reader {
+public:
+  typedef RateLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint() const;
+
+  inline  ::uint64_t getBorn() const;
+
+  inline bool getLimited() const;
+
+  inline double getRate() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimit::Builder {
+public:
+  typedef RateLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getEndpoint();
+  inline void setEndpoint( ::uint64_t value);
+
+  inline  ::uint64_t getBorn();
+  inline void setBorn( ::uint64_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getRate();
+  inline void setRate(double value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimit::Pipeline {
+public:
+  typedef RateLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitRequest::Reader {
+public:
+  typedef PermitRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasLimit() const;
+  inline  ::marjorampath::schema::RateLimit::Reader getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitRequest::Builder {
+public:
+  typedef PermitRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasLimit();
+  inline  ::marjorampath::schema::RateLimit::Builder getLimit();
+  inline void setLimit( ::marjorampath::schema::RateLimit::Reader value);
+  inline  ::marjorampath::schema::RateLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> disownLimit();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitRequest::Pipeline {
+public:
+  typedef PermitRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::marjorampath::schema::RateLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitReply::Reader {
+public:
+  typedef PermitReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool getGranted() const;
+
+  inline  ::int64_t getWait() const;
+
+  inline bool hasLimit() const;
+  inline  ::marjorampath::schema::RateLimit::Reader getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitReply::Builder {
+public:
+  typedef PermitReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::int64_t getWait();
+  inline void setWait( ::int64_t value);
+
+  inline bool hasLimit();
+  inline  ::marjorampath::schema::RateLimit::Builder getLimit();
+  inline void setLimit( ::marjorampath::schema::RateLimit::Reader value);
+  inline  ::marjorampath::schema::RateLimit::Builder initLimit();
+  inline void adoptLimit(::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> disownLimit();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitReply::Pipeline {
+public:
+  typedef PermitReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::marjorampath::schema::RateLimit::Pipeline getLimit();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerBeat::Reader {
 public:
   typedef PeerBeat Reads;
@@ -858,6 +1189,9 @@
   inline bool hasConvictions() const;
   inline  ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>::Reader getConvictions() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -948,6 +1282,13 @@
   inline void adoptConvictions(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::Conviction,  ::capnp::Kind::STRUCT>> disownConvictions();
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1299,6 +1640,18 @@
   inline bool hasEngineStatus() const;
   inline  ::marjorampath::schema::EngineStatus::Reader getEngineStatus() const;
 
+  inline bool isPermitRequest() const;
+  inline bool hasPermitRequest() const;
+  inline  ::marjorampath::schema::PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitReply() const;
+  inline bool hasPermitReply() const;
+  inline  ::marjorampath::schema::PermitReply::Reader getPermitReply() const;
+
+  inline bool isRateLimit() const;
+  inline bool hasRateLimit() const;
+  inline  ::marjorampath::schema::RateLimit::Reader getRateLimit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1392,6 +1745,30 @@
   inline void adoptEngineStatus(::capnp::Orphan< ::marjorampath::schema::EngineStatus>&& value);
   inline ::capnp::Orphan< ::marjorampath::schema::EngineStatus> disownEngineStatus();
 
+  inline bool isPermitRequest();
+  inline bool hasPermitRequest();
+  inline  ::marjorampath::schema::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest( ::marjorampath::schema::PermitRequest::Reader value);
+  inline  ::marjorampath::schema::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan< ::marjorampath::schema::PermitRequest>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::PermitRequest> disownPermitRequest();
+
+  inline bool isPermitReply();
+  inline bool hasPermitReply();
+  inline  ::marjorampath::schema::PermitReply::Builder getPermitReply();
+  inline void setPermitReply( ::marjorampath::schema::PermitReply::Reader value);
+  inline  ::marjorampath::schema::PermitReply::Builder initPermitReply();
+  inline void adoptPermitReply(::capnp::Orphan< ::marjorampath::schema::PermitReply>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::PermitReply> disownPermitReply();
+
+  inline bool isRateLimit();
+  inline bool hasRateLimit();
+  inline  ::marjorampath::schema::RateLimit::Builder getRateLimit();
+  inline void setRateLimit( ::marjorampath::schema::RateLimit::Reader value);
+  inline  ::marjorampath::schema::RateLimit::Builder initRateLimit();
+  inline void adoptRateLimit(::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> disownRateLimit();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1927,6 +2304,210 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RateLimit::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateLimit::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setEndpoint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RateLimit::Reader::getBorn() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RateLimit::Builder::getBorn() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setBorn( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateLimit::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimit::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateLimit::Reader::getRate() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimit::Builder::getRate() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setRate(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RateLimit::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateLimit::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RateLimit::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::RateLimit::Reader PermitRequest::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::RateLimit::Builder PermitRequest::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::RateLimit::Pipeline PermitRequest::Pipeline::getLimit() {
+  return  ::marjorampath::schema::RateLimit::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitRequest::Builder::setLimit( ::marjorampath::schema::RateLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::RateLimit::Builder PermitRequest::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::adoptLimit(
+    ::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> PermitRequest::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PermitReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitReply::Reader::getWait() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitReply::Builder::getWait() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setWait( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::hasLimit() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitReply::Builder::hasLimit() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::RateLimit::Reader PermitReply::Reader::getLimit() const {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::RateLimit::Builder PermitReply::Builder::getLimit() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::marjorampath::schema::RateLimit::Pipeline PermitReply::Pipeline::getLimit() {
+  return  ::marjorampath::schema::RateLimit::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void PermitReply::Builder::setLimit( ::marjorampath::schema::RateLimit::Reader value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::RateLimit::Builder PermitReply::Builder::initLimit() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitReply::Builder::adoptLimit(
+    ::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value) {
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> PermitReply::Builder::disownLimit() {
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerBeat::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2228,6 +2809,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool PeerBeat::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBeat::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader PeerBeat::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder PeerBeat::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void PeerBeat::Builder::setRateLimits( ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>::Builder PeerBeat::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void PeerBeat::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>> PeerBeat::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RateLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2860,6 +3475,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isPermitRequest() const {
+  return which() == PeerMessage::PERMIT_REQUEST;
+}
+inline bool PeerMessage::Builder::isPermitRequest() {
+  return which() == PeerMessage::PERMIT_REQUEST;
+}
+inline bool PeerMessage::Reader::hasPermitRequest() const {
+  if (which() != PeerMessage::PERMIT_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasPermitRequest() {
+  if (which() != PeerMessage::PERMIT_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::PermitRequest::Reader PeerMessage::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::PermitRequest::Builder PeerMessage::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setPermitRequest( ::marjorampath::schema::PermitRequest::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::PermitRequest::Builder PeerMessage::Builder::initPermitRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptPermitRequest(
+    ::capnp::Orphan< ::marjorampath::schema::PermitRequest>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::PermitRequest> PeerMessage::Builder::disownPermitRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isPermitReply() const {
+  return which() == PeerMessage::PERMIT_REPLY;
+}
+inline bool PeerMessage::Builder::isPermitReply() {
+  return which() == PeerMessage::PERMIT_REPLY;
+}
+inline bool PeerMessage::Reader::hasPermitReply() const {
+  if (which() != PeerMessage::PERMIT_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasPermitReply() {
+  if (which() != PeerMessage::PERMIT_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::PermitReply::Reader PeerMessage::Reader::getPermitReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::PermitReply::Builder PeerMessage::Builder::getPermitReply() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setPermitReply( ::marjorampath::schema::PermitReply::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REPLY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::PermitReply::Builder PeerMessage::Builder::initPermitReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REPLY);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptPermitReply(
+    ::capnp::Orphan< ::marjorampath::schema::PermitReply>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REPLY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::PermitReply> PeerMessage::Builder::disownPermitReply() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::PermitReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isRateLimit() const {
+  return which() == PeerMessage::RATE_LIMIT;
+}
+inline bool PeerMessage::Builder::isRateLimit() {
+  return which() == PeerMessage::RATE_LIMIT;
+}
+inline bool PeerMessage::Reader::hasRateLimit() const {
+  if (which() != PeerMessage::RATE_LIMIT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasRateLimit() {
+  if (which() != PeerMessage::RATE_LIMIT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::RateLimit::Reader PeerMessage::Reader::getRateLimit() const {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_LIMIT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::RateLimit::Builder PeerMessage::Builder::getRateLimit() {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_LIMIT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setRateLimit( ::marjorampath::schema::RateLimit::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_LIMIT);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::RateLimit::Builder PeerMessage::Builder::initRateLimit() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_LIMIT);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptRateLimit(
+    ::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RATE_LIMIT);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> PeerMessage::Builder::disownRateLimit() {
+  KJ_IREQUIRE((which() == PeerMessage::RATE_LIMIT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::RateLimit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -3,7 +3,7 @@
 #include <marjorampath/deployment/route_table.hpp>
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
-#include <marjorampath/limits/rate_limit_registry.hpp>
+#include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
 #include <marjorampath/suspect/suspect_registry.hpp>
 #include <serving/caller/caller_context.hpp>
 #include <serving/endpoint/connection_pool.hpp>
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -42,6 +43,11 @@
     /// Time to wait for an engine's status from its lease holder: a few round trips to
     /// another zone.
     duration status_timeout = std::chrono::milliseconds(10);
+    /// Time to wait for a permit from another host: a few round trips to another zone,
+    /// and the load of the other host.
+    duration permit_timeout = std::chrono::milliseconds(25);
+    /// Pause before a permit is requested again after a request without a reply.
+    duration permit_retry_pause = std::chrono::milliseconds(100);
 };
 
 /// Timers of the exchanges that wait for an update of a key.
@@ -66,7 +72,7 @@
     /// Requests that are suspected or convicted of crashing endpoints.
     suspect_registry suspects;
     /// Request rates that endpoints have limited.
-    rate_limit_registry rate_limits;
+    rate_limit_coordinator rate_limits;
     /// Attempts whose connection broke and that may have crashed their endpoint.
     lost_attempts lost;
     /// Counters and latencies.
@@ -77,12 +83,51 @@
     /// also requests the engine's status. True if the report was sent, so that a
     /// requested status can be awaited.
     std::function<bool(endpoint_id, bool)> report_usage;
+    /// Requests a permit for one request to an endpoint that limits its rate, under a
+    /// number of its own. Empty if another host was asked, whose
+    /// reply ends the wait in `permit_waiters`, unless a datagram is lost.
+    std::function<std::optional<permit_reply>(endpoint_id, std::uint64_t)> request_permit;
+    /// Tells the host that issues an endpoint's permits what its answer said.
+    std::function<void(rate_limit_notice const&)> report_rate_limit;
     /// Number of hosts that share the retry budgets.
     std::function<std::size_t()> host_count;
     /// Timers of the exchanges that wait for an adapter to be loaded, by `MODEL/ADAPTER`.
     waiting_timers<std::string> adapter_waiters;
     /// Timers of the exchanges that wait for an engine's status.
     waiting_timers<endpoint_id> status_waiters;
+    /// Timers of the exchanges that wait for a permit, by its number.
+    waiting_timers<std::uint64_t> permit_waiters;
+    /// Replies to these exchanges, by number.
+    std::map<std::uint64_t, permit_reply> permit_replies;
+    /// Number of the last request for a permit.
+    std::uint64_t last_permit_number = 0;
+
+    /// Applies what an endpoint's answer said of the rate of requests that it accepts;
+    /// returns whether that changed the limit in force.
+    bool apply_rate_limit(rate_limit_notice const& notice, time_point now)
+    {
+        auto const changed = rate_limits.apply(notice, now);
+        if (changed)
+            dispatch.set_rate_limit(notice.endpoint,
+                                    rate_limits.limit_of(notice.endpoint));
+        return changed;
+    }
+
+    /// Forgets the limit of an endpoint whose process has ended.
+    void forget_rate_limit(endpoint_id endpoint)
+    {
+        rate_limits.forget(endpoint);
+        dispatch.set_rate_limit(endpoint, std::nullopt);
+    }
+
+    /// Passes the reply to a request for a permit to the exchange that waits for it.
+    void deliver(permit_reply const& reply)
+    {
+        if (!permit_waiters.contains(reply.number))
+            return;
+        permit_replies[reply.number] = reply;
+        cancel(permit_waiters, reply.number);
+    }
 
     /// Wakes the exchanges that wait for an engine's status.
     void wake(endpoint_id engine)
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -73,6 +73,8 @@
     // Most status requests before one decision; afterwards the decision is executed even
     // if the dispatcher wants the status confirmed again
     static constexpr unsigned max_status_requests = 2;
+    // Most permits that are refused before the request is
+    static constexpr unsigned max_refused_permits = 3;
     // Logged in place of a rate limit where none is in force
     static constexpr double no_rate_limit = -1;
     // Most waits of one request for its adapter
@@ -99,6 +101,11 @@
     // Reads the answer to this request, skipping answers to other requests
     boost::asio::awaitable<attempt_end> read_answer(endpoint_announcement const& endpoint,
                                                     directory_entry const& entry);
+    // Makes an attempt; at an endpoint that limits its rate only with a permit, else
+    // leaves the request for the next decision or refuses it
+    boost::asio::awaitable<void> attempt_with_permit(endpoint_announcement endpoint);
+    // Obtains a permit for one request; false if it was refused
+    boost::asio::awaitable<bool> acquire_permit(endpoint_announcement const& endpoint);
     // Notes the request rate that the current endpoint's answer names, or that it names
     // none any more
     void note_rate_limit(endpoint_announcement const& endpoint,
@@ -191,6 +198,8 @@
     unsigned adapter_waits_ = 0;
     // Status requests since the last decision
     unsigned status_requests_ = 0;
+    // Refused permits so far
+    unsigned refused_permits_ = 0;
     // When serving the request began
     time_point begin_;
     // An endpoint's failure, sent to the caller if no other attempt succeeds
@@ -200,3 +209,4 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_exchange.inl>
+#include <serving/entry/entry_exchange_limits.inl>
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -73,7 +73,7 @@
         co_await conclude_failed(decision.reason, decision.retry_after);
         break;
     case dispatch_action::send:
-        co_await attempt(load->announced);
+        co_await attempt_with_permit(load->announced);
         break;
     }
 }
@@ -326,31 +326,6 @@
     co_return attempt_end::invalid_answer;
 }
 
-template <entry_dialect Dialect>
-void entry_exchange<Dialect>::note_rate_limit(endpoint_announcement const& endpoint,
-                                              answer_reader::head const& head)
-{
-    using field_state = named_rate_limit::field_state;
-    auto const named = Dialect::rate_limit(head);
-    if (named.state == field_state::invalid)
-    {
-        log_event(event::endpoint_field_ignored, "endpoint", endpoint.name, "field",
-                  "rate_limit");
-        return;
-    }
-    auto const now = boot_now();
-    rate_limit_notice notice{.endpoint = endpoint.id,
-                             .started_at_ms = endpoint.started_at_ms};
-    if (named.state == field_state::valid)
-        notice.rate = named.rate;
-    else
-        notice.age = now - sent_at_;
-    if (context_->rate_limits.apply(notice, now))
-        log_event(event::rate_limit_changed, "endpoint", endpoint.name, "limit",
-                  notice.rate.value_or(no_rate_limit), "request",
-                  request_.caller_attempt_id);
-}
-
 template <entry_dialect Dialect>
 boost::asio::awaitable<attempt_end>
 entry_exchange<Dialect>::process_answer(answer_reader& reader, bool success)
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -176,6 +176,31 @@
     events_.on_status(status);
 }
 
+void entry_fleet::handle(permit_request const& request)
+{
+    send(events_.on_permit_request(request), sender());
+}
+
+void entry_fleet::handle(permit_reply const& reply)
+{
+    events_.on_permit_reply(reply);
+}
+
+void entry_fleet::handle(rate_limit_notice const& notice)
+{
+    events_.on_rate_limit(notice);
+}
+
+void entry_fleet::request_permit(permit_request const& request, host_id from)
+{
+    send(request, from);
+}
+
+void entry_fleet::report_rate_limit(rate_limit_notice const& notice, host_id to)
+{
+    send(notice, to);
+}
+
 lease_reply entry_fleet::answer_lease_request(lease_request const& request)
 {
     return witness_.on_request(boot_now(), request, peers_.incarnation(), activation_);
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -53,6 +53,12 @@
     std::function<std::optional<engine_status>(endpoint_id)> status_of;
     /// Handles the status of an engine, sent by its lease holder.
     std::function<void(engine_status const&)> on_status;
+    /// Answers another host's request for a permit to send to a limited endpoint.
+    std::function<permit_reply(permit_request const&)> on_permit_request;
+    /// Handles the reply to a request of this host for a permit.
+    std::function<void(permit_reply const&)> on_permit_reply;
+    /// Handles what another host learnt of the request rate that an endpoint accepts.
+    std::function<void(rate_limit_notice const&)> on_rate_limit;
     /// This host gained an engine's lease, or must use this higher fencing number for it.
     /// The flag is true if no other host has held the lease since this host last did.
     std::function<void(endpoint_id, std::uint64_t, bool)> on_acquired;
@@ -86,6 +92,13 @@
     /// `on_status`, or never if a datagram is lost.
     bool report_usage(endpoint_usage usage, bool wants_status);
 
+    /// Asks another host for a permit to send to a limited endpoint. The reply arrives
+    /// through `on_permit_reply`, or never if a datagram is lost.
+    void request_permit(permit_request const& request, host_id from);
+
+    /// Tells another host what an endpoint said of the request rate that it accepts.
+    void report_rate_limit(rate_limit_notice const& notice, host_id to);
+
     /// Sends a heartbeat to every host now instead of at the next interval, as after a
     /// change of the configuration.
     void send_heartbeats();
@@ -141,6 +154,9 @@
     void handle(load_reply const& reply);
     void handle(usage_report const& report);
     void handle(engine_status const& status);
+    void handle(permit_request const& request);
+    void handle(permit_reply const& reply);
+    void handle(rate_limit_notice const& notice);
     // Runs the lease state machines and sends heartbeats when they are due
     void tick();
 
--- a/serving/entry/entry_metrics.hpp
+++ b/serving/entry/entry_metrics.hpp
@@ -21,6 +21,10 @@
 inline constexpr metric limited_sends_metric{
     .name = "marjorampath_limited_sends_total",
     .help = "Sends to endpoints that had named a limit on their request rate."};
+/// Permits for requests to such endpoints by result.
+inline constexpr metric permits_metric{
+    .name = "marjorampath_permits_total",
+    .help = "Permits for requests to endpoints with a limited rate, by result."};
 /// Load requests to lease holders.
 inline constexpr metric load_requests_metric{
     .name = "marjorampath_loads_asked_total",
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -178,6 +178,19 @@
     // Handles the reply to a load request
     void on_load_reply(load_reply const& reply);
 
+    // Requests a permit for one request to an endpoint that limits its rate, from the
+    // host that issues them; empty if its reply is awaited
+    std::optional<permit_reply> request_permit(endpoint_id endpoint,
+                                               std::uint64_t number);
+    // Answers another host's request for a permit
+    permit_reply on_permit_request(permit_request const& request);
+    // Handles the reply to such a request of this host
+    void on_permit_reply(permit_reply const& reply);
+    // Tells the host that issues an endpoint's permits what its answer said
+    void report_rate_limit(rate_limit_notice const& notice);
+    // Applies what another host knows of an endpoint's rate
+    void apply_peer_rate_limit(rate_limit_notice const& notice);
+
     // Watches for signals
     void watch_signals();
     // Reads the settings again and applies those that can change
@@ -260,4 +273,5 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_node.inl>
+#include <serving/entry/entry_node_limits.inl>
 #include <serving/entry/entry_node_view.inl>
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -53,7 +53,7 @@
                 connection_pool(loop_.get_executor(), {.max_idle = connections / 2}),
             .budgets = {},
             .suspects = suspect_registry({}),
-            .rate_limits = {},
+            .rate_limits = rate_limit_coordinator(host_id::of(settings_.host), {}),
             .lost = {},
             .metrics = {metrics_.make_shard()},
             .request_load =
@@ -66,9 +66,15 @@
             },
             .report_usage = [this](endpoint_id engine, bool wants_status)
             { return report_usage(engine, wants_status); },
+            .request_permit = [this](endpoint_id endpoint, std::uint64_t number)
+            { return request_permit(endpoint, number); },
+            .report_rate_limit = [this](rate_limit_notice const& notice)
+            { report_rate_limit(notice); },
             .host_count = [this] { return fleet_.peers().responsive_hosts(boot_now()); },
             .adapter_waiters = {},
-            .status_waiters = {}};
+            .status_waiters = {},
+            .permit_waiters = {},
+            .permit_replies = {}};
 }
 
 template <entry_platform Platform>
@@ -113,6 +119,11 @@
         .status_of = [this](endpoint_id engine)
         { return planner_.status_of(engine, boot_now()); },
         .on_status = [this](engine_status const& status) { on_status(status); },
+        .on_permit_request = [this](permit_request const& request)
+        { return on_permit_request(request); },
+        .on_permit_reply = [this](permit_reply const& reply) { on_permit_reply(reply); },
+        .on_rate_limit = [this](rate_limit_notice const& notice)
+        { apply_peer_rate_limit(notice); },
         .on_acquired = [this](endpoint_id engine, std::uint64_t number, bool continued)
         { planner_.on_lease(engine, number, continued, boot_now()); },
         .on_lost = [this](endpoint_id engine) { planner_.on_lease_lost(engine); }};
@@ -401,6 +412,7 @@
     heartbeat.loads_in_transit = planner_.loads_in_transit(now);
     heartbeat.engines = planner_.statuses(now);
     heartbeat.convictions = context_.suspects.convictions(now);
+    heartbeat.rate_limits = context_.rate_limits.reported(fleet_.peers(), now);
 }
 
 template <entry_platform Platform>
@@ -430,6 +442,8 @@
         context_.dispatch.on_status(status, now);
     for (auto const& known : heartbeat.convictions)
         context_.suspects.merge(now, known);
+    for (auto const& notice : heartbeat.rate_limits)
+        apply_peer_rate_limit(notice);
     std::uint32_t remote_loads = 0;
     for (auto const& [host, known] : fleet_.peers().peers())
         remote_loads += fleet_.peers().is_responsive(host, now)
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -156,7 +156,7 @@
                           endpoint.name);
         if (change.change == endpoint_change::restarted ||
             change.change == endpoint_change::gone)
-            context_.rate_limits.forget(endpoint.id);
+            context_.forget_rate_limit(endpoint.id);
         context_.dispatch.on_endpoint(change, now);
         planner_.on_endpoint(change, now);
     }
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -10,6 +10,7 @@
 #include <kj/io.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace marjorampath::schema
@@ -133,6 +134,55 @@
     decode_list(wire.getAdapters(), value.adapters);
 }
 
+void encode(rate_limit_notice const& value, RateLimit::Builder wire)
+{
+    wire.setEndpoint(value.endpoint.number());
+    wire.setBorn(value.started_at_ms);
+    wire.setLimited(value.rate.has_value());
+    wire.setRate(value.rate.value_or(0));
+    wire.setAge(encode_duration(value.age));
+}
+
+void decode(RateLimit::Reader wire, rate_limit_notice& value)
+{
+    decode(wire.getEndpoint(), value.endpoint);
+    value.started_at_ms = wire.getBorn();
+    auto const rate = wire.getRate();
+    KJ_REQUIRE(std::isfinite(rate) && rate >= 0, "invalid rate limit");
+    value.rate.reset();
+    if (wire.getLimited())
+        value.rate = rate;
+    value.age = std::max(duration{0}, decode_duration(wire.getAge()));
+}
+
+void encode(permit_request const& value, PermitRequest::Builder wire)
+{
+    wire.setNumber(value.number);
+    encode(value.limit, wire.initLimit());
+}
+
+void decode(PermitRequest::Reader wire, permit_request& value)
+{
+    value.number = wire.getNumber();
+    decode(wire.getLimit(), value.limit);
+}
+
+void encode(permit_reply const& value, PermitReply::Builder wire)
+{
+    wire.setNumber(value.number);
+    wire.setGranted(value.granted);
+    wire.setWait(encode_duration(value.wait));
+    encode(value.limit, wire.initLimit());
+}
+
+void decode(PermitReply::Reader wire, permit_reply& value)
+{
+    value.number = wire.getNumber();
+    value.granted = wire.getGranted();
+    value.wait = std::max(duration{0}, decode_duration(wire.getWait()));
+    decode(wire.getLimit(), value.limit);
+}
+
 void encode(peer_heartbeat const& value, PeerBeat::Builder wire)
 {
     wire.setHost(value.host.number());
@@ -149,6 +199,7 @@
     encode_list(value.engines, wire.initEngines(wire_size(value.engines)));
     encode_list(value.usage, wire.initUsage(wire_size(value.usage)));
     encode_list(value.convictions, wire.initConvictions(wire_size(value.convictions)));
+    encode_list(value.rate_limits, wire.initRateLimits(wire_size(value.rate_limits)));
 }
 
 void decode(PeerBeat::Reader wire, peer_heartbeat& value)
@@ -167,6 +218,7 @@
     decode_list(wire.getEngines(), value.engines);
     decode_list(wire.getUsage(), value.usage);
     decode_list(wire.getConvictions(), value.convictions);
+    decode_list(wire.getRateLimits(), value.rate_limits);
 }
 
 void encode(load_request const& value, LoadRequest::Builder wire)
@@ -251,6 +303,18 @@
     {
         encode(value, wire.initEngineStatus());
     }
+    void operator()(permit_request const& value)
+    {
+        encode(value, wire.initPermitRequest());
+    }
+    void operator()(permit_reply const& value)
+    {
+        encode(value, wire.initPermitReply());
+    }
+    void operator()(rate_limit_notice const& value)
+    {
+        encode(value, wire.initRateLimit());
+    }
 };
 
 template <class Message, class Reader>
@@ -281,6 +345,12 @@
         return decoded<usage_report>(wire.getUsageReport());
     case PeerMessage::ENGINE_STATUS:
         return decoded<engine_status>(wire.getEngineStatus());
+    case PeerMessage::PERMIT_REQUEST:
+        return decoded<permit_request>(wire.getPermitRequest());
+    case PeerMessage::PERMIT_REPLY:
+        return decoded<permit_reply>(wire.getPermitReply());
+    case PeerMessage::RATE_LIMIT:
+        return decoded<rate_limit_notice>(wire.getRateLimit());
     }
     KJ_FAIL_REQUIRE("unknown message");
 }
--- a/serving/entry/peer_codec.hpp
+++ b/serving/entry/peer_codec.hpp
@@ -6,6 +6,7 @@
 #include <marjorampath/peer/load_messages.hpp>
 #include <marjorampath/peer/peer_heartbeat.hpp>
 #include <marjorampath/peer/usage_report.hpp>
+#include <marjorampath/rate_limit/permit_messages.hpp>
 
 #include <optional>
 #include <string>
@@ -18,7 +19,8 @@
 /// The messages between entry hosts.
 using peer_message =
     std::variant<peer_heartbeat, lease_request, lease_reply, lease_release, load_request,
-                 load_reply, usage_report, engine_status>;
+                 load_reply, usage_report, engine_status, permit_request, permit_reply,
+                 rate_limit_notice>;
 
 /// Encodes a message as one datagram: a Cap'n Proto message in packed form.
 std::string encode_peer_message(peer_message const& message);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -127,9 +127,14 @@
     event_entry{rate_limit_changed, info, "rate_limit_changed",
                 "An endpoint's answer named another limit on the requests per second "
                 "that it accepts from all hosts together; `limit` is -1 if it named none "
-                "any more."},
+                "any more. `source` says who received the answer: this host or a peer."},
     event_entry{endpoint_field_ignored, warning, "endpoint_field_ignored",
                 "A field of an endpoint's answer could not be parsed and was ignored."},
+    event_entry{
+        permit_refused, info, "permit_refused",
+        "A request got no permit for an endpoint that limits its request rate; it "
+        "goes to another one or is refused. `replied` tells whether the host that "
+        "issues the permits replied, `wait_ms` when to ask again."},
     event_entry{adapter_loaded, info, "adapter_loaded", "An engine loaded an adapter."},
     event_entry{adapter_unloaded, info, "adapter_unloaded",
                 "An engine unloaded an adapter."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -69,6 +69,7 @@
     endpoint_ejected = 504,
     rate_limit_changed = 505,
     endpoint_field_ignored = 506,
+    permit_refused = 507,
     adapter_loaded = 510,
     adapter_unloaded = 511,
     adapter_load_failed = 512,
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -1,3 +1,4 @@
+#include <marjorampath/peer/peer_table.hpp>
 #include <serving/caller/caller_listener.hpp>
 #include <serving/clock/boot_time.hpp>
 #include <serving/entry/entry_exchange.hpp>
@@ -225,6 +226,7 @@
     bool done = false;
     std::array<std::unique_ptr<scripted_server>, 2> servers;
     metrics_registry metrics;
+    peer_table peers{{.host = host_id::of("h")}, {}, {}};
     entry_context context{
         .callers = {.loop = loop,
                     .limits = {},
@@ -245,10 +247,19 @@
         .connections = connection_pool(loop.get_executor(), {}),
         .budgets = {},
         .suspects = suspect_registry({}),
-        .rate_limits = {},
+        .rate_limits = rate_limit_coordinator(host_id::of("h"), {}),
         .lost = {},
         .metrics = {metrics.make_shard()},
         .request_load = [](proposed_load const&) {},
+        .request_permit =
+            [this](endpoint_id endpoint, std::uint64_t number)
+        {
+            auto const step =
+                context.rate_limits.request_permit(endpoint, peers, boot_now());
+            return std::optional<permit_reply>(
+                {.number = number, .granted = step.granted, .wait = step.wait});
+        },
+        .report_rate_limit = [](rate_limit_notice const&) {},
         .host_count = [] { return std::size_t{1}; },
         .adapter_waiters = {}};
     caller_listener listener{context.callers};
--- a/tests/unit/peer/peer_test.cpp
+++ b/tests/unit/peer/peer_test.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -379,6 +380,8 @@
          .in_flight = 2,
          .adapters = {{.name = "m/a1", .in_flight = 1, .sent = 4}}});
     heartbeat.convictions.push_back({.fingerprint = fingerprint_id(8), .first_crash = 1});
+    heartbeat.rate_limits.push_back(
+        {.endpoint = endpoint_id(9), .started_at_ms = 3, .rate = 2.5, .age = 7ms});
     auto const read =
         serving::decode_peer_message(serving::encode_peer_message(heartbeat)).value();
     auto const& back = std::get<peer_heartbeat>(read);
@@ -388,6 +391,29 @@
     BOOST_TEST((back.engines.at(0).adapters.at(0).ready_in == 5ms));
     BOOST_TEST(back.usage.at(0).adapters.at(0).sent == 4u);
     BOOST_TEST((back.convictions.at(0).fingerprint == fingerprint_id(8)));
+    BOOST_TEST(back.rate_limits.at(0).rate.value() == 2.5);
+    BOOST_TEST((back.rate_limits.at(0).age == 7ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_permit_survives_encoding_and_an_invalid_rate_is_rejected)
+{
+    permit_reply const reply{.number = 5,
+                             .granted = true,
+                             .wait = 20ms,
+                             .limit = {.endpoint = endpoint_id(9), .rate = 0.5}};
+    auto const read =
+        serving::decode_peer_message(serving::encode_peer_message(reply)).value();
+    auto const& back = std::get<permit_reply>(read);
+    BOOST_TEST(back.number == 5u);
+    BOOST_TEST(back.granted);
+    BOOST_TEST((back.wait == 20ms));
+    BOOST_TEST(back.limit.rate.value() == 0.5);
+
+    auto invalid = reply.limit;
+    invalid.rate = -1;
+    BOOST_TEST(!serving::decode_peer_message(serving::encode_peer_message(invalid)));
+    invalid.rate = std::numeric_limits<double>::quiet_NaN();
+    BOOST_TEST(!serving::decode_peer_message(serving::encode_peer_message(invalid)));
 }
 
 BOOST_AUTO_TEST_CASE(corrupted_messages_do_not_crash_the_decoder)
--- a/tests/unit/limits/rate_limit_registry_test.cpp
+++ b/tests/unit/rate_limit/rate_limit_registry_test.cpp
@@ -1,4 +1,4 @@
-#include <marjorampath/limits/rate_limit_registry.hpp>
+#include <marjorampath/rate_limit/rate_limit_registry.hpp>
 
 #include <boost/test/unit_test.hpp>
 
