Do not wait for the end of an answer that is not forwarded

Cause: the rest of such answers was read to its end, up to 4 MB, with no time limit; only safe requests had one. Change: skip_body reads at most 64 KB and 50 ms; after that the connection is closed and the request goes to another endpoint. Why it works: what the head of such an answer says is final; its body only decides whether the connection can be used again.

--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -34,6 +34,8 @@
     double attempt_timeout_fraction = 0.8;
     /// Least time before such an attempt is abandoned.
     duration min_attempt_timeout = std::chrono::milliseconds(150);
+    /// Time to read the rest of an answer that is not forwarded.
+    duration skip_timeout = std::chrono::milliseconds(50);
     /// Retry-After value in the answer to a request that may not be sent again or whose
     /// adapter was not loaded in time.
     duration retry_pause = std::chrono::milliseconds(800);
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -66,6 +66,8 @@
 
     // Largest answer that is held in memory, in bytes; bounds the memory of one request
     static constexpr std::size_t max_held_bytes = 4'194'304;
+    // Largest body that is skipped, in bytes
+    static constexpr std::size_t max_skipped_bytes = 65'536;
     // Most answers to other requests that are skipped on one connection
     static constexpr unsigned max_skipped_answers = 2;
     // Most attempts of one request, including refused ones
@@ -110,6 +112,8 @@
     // none any more
     void note_rate_limit(endpoint_announcement const& endpoint,
                          answer_reader::head const& head);
+    // Reads and ignores a body, for a short time; false if it does not end
+    boost::asio::awaitable<bool> skip_body(answer_reader& reader);
     // Reads the body after a head and delivers the answer, or holds a failure
     boost::asio::awaitable<attempt_end> process_answer(answer_reader& reader,
                                                        bool success);
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -296,9 +296,7 @@
             reader.get_head(), request_.caller_attempt_id, endpoint.name);
         if (verdict == endpoint_verdict::other_request)
         {
-            std::string ignored_body;
-            if (!reader.is_framed() ||
-                co_await reader.read_rest(ignored_body, max_held_bytes))
+            if (!reader.is_framed() || !co_await skip_body(reader))
                 co_return end_after_failure(attempt_end::invalid_answer);
             early = reader.take_unparsed();
             continue;
@@ -315,8 +313,9 @@
         }
         else
         {
-            std::string ignored_body;
-            co_await reader.read_rest(ignored_body, max_held_bytes);
+            // The head says all; the body is read only to use the connection again
+            cancel_attempt_timeout();
+            co_await skip_body(reader);
             end = Dialect::to_attempt_end(verdict);
         }
         if (reader.keep_alive() && connection_->is_open() && !aborted())
@@ -326,6 +325,20 @@
     co_return attempt_end::invalid_answer;
 }
 
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool> entry_exchange<Dialect>::skip_body(answer_reader& reader)
+{
+    // The time limit of the attempt, if there is one, ends this step too
+    auto const limited = timeout_ && timeout_->armed;
+    if (!limited)
+        start_attempt_timeout(context_->times.skip_timeout);
+    std::string ignored;
+    auto const failed = co_await reader.read_rest(ignored, max_skipped_bytes);
+    if (!limited)
+        cancel_attempt_timeout();
+    co_return !failed;
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<attempt_end>
 entry_exchange<Dialect>::process_answer(answer_reader& reader, bool success)
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -33,6 +33,10 @@
     std::string text;
     // Whether the connection is closed after them; else the server stays silent
     bool closes = true;
+    // Bytes that follow again and again until the other side closes
+    std::string endless = {};
+    // Pause between these
+    duration pause{0};
 };
 
 // An endpoint that answers each request with the next answer of a script
@@ -81,6 +85,14 @@
             answers_.pop_front();
             co_await asio::async_write(socket, asio::buffer(answer.text),
                                        asio::redirect_error(asio::use_awaitable, error));
+            while (!answer.endless.empty() && !error)
+            {
+                co_await asio::async_write(
+                    socket, asio::buffer(answer.endless),
+                    asio::redirect_error(asio::use_awaitable, error));
+                asio::steady_timer timer(socket.get_executor(), answer.pause);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             if (answer.closes)
                 co_return;
             if (!answer.text.empty())
@@ -373,6 +385,58 @@
     entry.run_until([&] { return entry.servers[0]->abandoned == 1; });
 }
 
+// An endpoint in trouble sends bytes that are no answer until the other side closes
+BOOST_AUTO_TEST_CASE(bytes_without_end_are_no_answer)
+{
+    std::string const filler(16'384, 'a');
+    auto const sealed_head =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n";
+    for (auto const& text :
+         {std::string(), std::string("HTTP/1.1 200 OK\r\nX-More: "),
+          std::string("HTTP/1.1 200 OK\r\n\r\n"), sealed_head + std::string("\r\n"),
+          sealed_head + std::string("Transfer-Encoding: chunked\r\n\r\n")})
+    {
+        auto const endless = text.ends_with("chunked\r\n\r\n") ? chunk(filler) : filler;
+        entry_fixture entry({{text, true, endless}}, {{sealed("second")}});
+        auto const begin = boot_now();
+        auto const answer = entry.send_request(http::verb::get, "/safe/x");
+        BOOST_TEST(answer.ends_with("second"), text);
+        BOOST_TEST((boot_now() - begin < 1'500ms), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_not_forwarded)
+{
+    entry_fixture entry({{stream_head() + chunk(events(1, 2)), true,
+                          chunk("data: " + std::string(16'384, 'a'))}},
+                        {{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}});
+    auto const answer = entry.send_request(http::verb::post, "/resumable/x");
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(!contains(answer, "aaaa"));
+}
+
+// The rest of such answers was awaited until the request's deadline
+BOOST_AUTO_TEST_CASE(a_refusal_whose_body_never_ends_does_not_hold_the_request)
+{
+    auto const head = [](std::string const& more)
+    { return "HTTP/1.1 503 Service Unavailable\r\n" + more + "\r\n"; };
+    auto const chunked = std::string("Transfer-Encoding: chunked\r\n");
+    for (auto const& text :
+         {head("X-Not-Executed: 1\r\n"), head("X-Not-Executed: 1\r\n" + chunked),
+          head("X-Attempt-Id: other\r\n" + chunked)})
+    {
+        auto const endless = contains(text, "chunked") ? chunk("{}") : "{}";
+        entry_fixture entry({{text, true, endless, 20ms}}, {{sealed("second")}});
+        auto const begin = boot_now();
+        auto const unsafe = !contains(text, "other");
+        auto const answer =
+            entry.send_request(unsafe ? http::verb::post : http::verb::get,
+                               unsafe ? "/unsafe/x" : "/safe/x");
+        BOOST_TEST(answer.ends_with("second"), text);
+        BOOST_TEST((boot_now() - begin < 1s), text);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_deadline_ends_a_request_and_its_run)
 {
     entry_fixture entry({{"", false}}, {});
