Log engines' software versions and which streams callers continue

Change: announcements carry the version, requests the attempt that they continue, and the lines of endpoints, decisions and attempts log them. No decision reads them yet.

--- a/marjorampath/deployment/endpoint_announcement.hpp
+++ b/marjorampath/deployment/endpoint_announcement.hpp
@@ -31,6 +31,9 @@
     /// Start time of the endpoint's process, in wall-clock milliseconds. A restart under
     /// the same name changes it; the new process holds no state of the old one.
     std::uint64_t started_at_ms = 0;
+    /// Version of its software, not of its models; empty if it announces none. What two
+    /// versions write does not fit together in one stream.
+    std::string software_version;
     /// Service that it belongs to.
     service_id service;
     std::string address;
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -63,7 +63,8 @@
               "act", static_cast<int>(decision.action), "endpoint",
               load ? load->announced.name : std::string("-"), "adapter",
               request_.dispatch_call.adapter, "expected_ms",
-              decision.expected.count() / 1'000'000, "sends", sends_);
+              decision.expected.count() / 1'000'000, "sends", sends_, "after_event",
+              events_.last_id().value_or(0), "resumes", request_.resumed_attempt);
     switch (decision.action)
     {
     case dispatch_action::wait:
@@ -171,7 +172,8 @@
         context_->suspects.on_end(attempt_id, end == attempt_end::finished);
     context_->metrics.count(attempts_metric, "end", to_string(end));
     log_event(event::attempt_ended, "request", request_.caller_attempt_id, "endpoint",
-              endpoint.name, "end", to_string(end), "begun", answer_started_, "events",
+              endpoint.name, "software", endpoint.software_version, "end",
+              to_string(end), "begun", answer_started_, "events",
               events_.event_count(), "longest_pause_ms", longest_pause_.count() / 1'000'000,
               "after_ms", (now - begin_).count() / 1'000'000, "limit",
               limit.value_or(no_rate_limit));
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -146,7 +146,8 @@
                                  : (change.change == endpoint_change::draining
                                         ? event::endpoint_leaving
                                         : event::endpoint_lost)),
-                      "endpoint", endpoint.name, "address", endpoint.address, "port",
+                      "endpoint", endpoint.name, "software", endpoint.software_version,
+                      "address", endpoint.address, "port",
                       endpoint.port, "revision", listing.revision, "source", source);
         if (change.change == endpoint_change::restarted ||
             (change.change == endpoint_change::gone && !endpoint.draining))
--- a/serving/entry/entry_request.hpp
+++ b/serving/entry/entry_request.hpp
@@ -23,6 +23,9 @@
     route const* matched_route = nullptr;
     /// Identifier of the last event of a stream that the caller has; zero for none.
     std::uint64_t last_event = 0;
+    /// Identifier of the caller's attempt that received the first event of that stream;
+    /// empty if the caller did not name it.
+    std::string resumed_attempt;
 };
 
 /// The properties that differ between the attempts of one request.
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -167,12 +167,16 @@
                 "A request is retried at another endpoint."},
     event_entry{request_shed, warning, "request_shed",
                 "A request was refused before it ran because capacity was short."},
-    event_entry{request_decided, info, "request_decided",
-                "A request was assigned to an endpoint, or waits for an adapter; "
-                "`expected_ms` is the expected time to the first byte."},
+    event_entry{
+        request_decided, info, "request_decided",
+        "A request was assigned to an endpoint, or waits for an adapter; "
+        "`expected_ms` is the expected time to the first byte. A stream continues "
+        "after the event `after_event`; `resumes` is the caller's attempt that "
+        "began it."},
     event_entry{
         attempt_ended, info, "attempt_ended",
-        "An attempt to run a request at an endpoint ended; `end` says how. `limit` is "
+        "An attempt to run a request at an endpoint ended; `end` says how. `software` "
+        "is the version of the endpoint's software. `limit` is "
         "the endpoint's limit on its request rate when the attempt began, -1 for "
         "none."},
     event_entry{request_answered, info, "request_answered",
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -105,6 +105,7 @@
     BOOST_TEST(read->address == "10.1.0.9");
     BOOST_TEST(read->port == 8080);
     BOOST_TEST(read->started_at_ms == 17u);
+    BOOST_TEST(read->software_version == "v1");
     BOOST_TEST(read->models.at(0) == "m");
     BOOST_TEST(read->adapters.at(0).name == "m/a3");
     BOOST_TEST(read->adapters.at(0).version == 2u);
@@ -172,6 +173,19 @@
     BOOST_TEST(request.dispatch_call.parts.size() == 3u);
     BOOST_TEST(request.dispatch_call.parts.at(0).id == 0x5c1e07a2u);
     BOOST_TEST((request.dispatch_call.deadline == now + 4s));
+    BOOST_TEST(request.last_event == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(a_continued_stream_names_its_last_event_and_first_attempt)
+{
+    auto message = make_message("/s/2f");
+    message.set("Last-Event-Id", "7");
+    message.set("Resumes", "c877");
+    auto const read =
+        request_dialect::read_request(message, make_routes(), time_point(1'000s));
+    auto const& request = std::get<serving::entry_request>(read);
+    BOOST_TEST(request.last_event == 7u);
+    BOOST_TEST(request.resumed_attempt == "c877");
 }
 
 BOOST_AUTO_TEST_CASE(an_unknown_route_is_reported_only_if_routes_are_known)
