Test that a stream goes on only at the software version that began it

Change: stand-ins of engines have a software version and write it into their events; the soak runs two versions side by side, its callers continue broken streams at another node, and check_streams counts the versions over a caller's attempts. A test of one exchange and one of five processes.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,9 @@
         breaches = soak.run();
         for (auto const& [status, count] : soak.statuses())
             fmt::print("answers with status {}: {}\n", status, count);
+        auto const [continued, went_on] = soak.continued_streams();
+        fmt::print("streams continued by callers: {}, of which {} went on\n", continued,
+                   went_on);
     }
     catch (std::exception const& error)
     {
--- a/tests/soak/soak_check.cpp
+++ b/tests/soak/soak_check.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 
 namespace marjorampath::test
 {
@@ -47,6 +48,7 @@
         for (auto const& request : evidence_.requests)
             check(request);
         check_orders();
+        check_streams();
         return std::move(breaches_);
     }
 
@@ -142,6 +144,19 @@
         }
     }
 
+    // A stream may go on only at the software version that began it
+    void check_streams()
+    {
+        std::map<std::string, std::set<std::string>> software;
+        for (auto const& request : evidence_.requests)
+            software[request.stream.empty() ? request.attempt : request.stream].insert(
+                request.software.begin(), request.software.end());
+        for (auto const& [stream, versions] : software)
+            if (versions.size() > 1)
+                breach("stream {} holds events of {} software versions", stream,
+                       versions.size());
+    }
+
     template <class... Values>
     void breach(fmt::format_string<Values...> format, Values&&... values)
     {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -102,6 +102,12 @@
                        endpoints[index].generation);
 }
 
+std::string soak_fleet::software_version(std::size_t index) const
+{
+    // Two versions serve side by side; a replaced endpoint may get the other one
+    return (index + endpoints[index].generation) % 2 == 0 ? "v1" : "v2";
+}
+
 void soak_fleet::start_endpoint(std::size_t index)
 {
     platform::standin_deployment const deployment;
@@ -118,6 +124,8 @@
                                        std::string(zones.at(index % zones.size())),
                                        "--store",
                                        store->address_text(),
+                                       "--software",
+                                       software_version(index),
                                        "--records",
                                        (options_.folder / (name + ".records")).string()};
     if (endpoint.engine)
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -93,6 +93,8 @@
 
 private:
     void prepare_node(std::size_t index);
+    // Software version of an endpoint's current process
+    [[nodiscard]] std::string software_version(std::size_t index) const;
     void write_settings() const;
     // Writes an item to the store
     void put(std::string const& key, std::string const& value) const;
--- a/tests/soak/soak_request.hpp
+++ b/tests/soak/soak_request.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace marjorampath::test
@@ -29,6 +30,15 @@
     std::size_t node = 0;
     /// Adapter of a stream; empty for other kinds.
     std::string adapter;
+    /// Attempt that received the first event of the stream; its own identifier unless it
+    /// continues the stream of an earlier attempt.
+    std::string stream;
+    /// Last event that the caller had when it sent the request; zero for none.
+    std::uint64_t after_event = 0;
+    /// Last whole event of its answer; `after_event` if it got none.
+    std::uint64_t last_event = 0;
+    /// Software versions of the engines that wrote its events.
+    std::set<std::string> software;
     /// When it was sent, in milliseconds of the host's monotonic clock.
     std::int64_t sent_ms = 0;
     /// When the answer ended or failed, on the same clock.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -105,6 +105,19 @@
     return counts;
 }
 
+std::pair<std::size_t, std::size_t> soak_run::continued_streams() const
+{
+    std::pair<std::size_t, std::size_t> counts;
+    for (auto const& request : traffic_.requests())
+    {
+        if (request.after_event == 0)
+            continue;
+        ++counts.first;
+        counts.second += request.last_event > request.after_event || request.correct;
+    }
+    return counts;
+}
+
 void soak_run::schedule_after(std::chrono::milliseconds delay,
                               std::function<void()> action)
 {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace marjorampath::test
@@ -51,6 +52,10 @@
     /// Number of answers by HTTP status; incomplete answers count as status 0.
     [[nodiscard]] std::map<unsigned, std::size_t> statuses() const;
 
+    /// Number of streams that callers continued at another node, and of those that went
+    /// on there.
+    [[nodiscard]] std::pair<std::size_t, std::size_t> continued_streams() const;
+
 private:
     using clock = std::chrono::steady_clock;
 
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -34,6 +34,10 @@
 constexpr std::chrono::milliseconds late_answer_wait(2'000);
 // Number of events of a stream
 constexpr std::uint64_t stream_events = 12;
+// Times that a caller continues a broken stream
+constexpr int max_resumes = 2;
+// Ends an event
+constexpr std::string_view event_end = "\n\n";
 // Bounds of the pause between two requests of a caller
 constexpr int min_pause_ms = 5;
 constexpr int max_pause_ms = 60;
@@ -79,6 +83,17 @@
             .adapter = kind == soak_kind::stream ? fmt::format("a{}", adapter) : ""};
 }
 
+soak_request soak_traffic::continue_stream(soak_request const& broken)
+{
+    return {.attempt = fmt::format("s{}-{}", options_.seed, ++next_attempt_),
+            .kind = soak_kind::stream,
+            .node = (broken.node + 1) % options_.nodes.size(),
+            .adapter = broken.adapter,
+            .stream = broken.stream.empty() ? broken.attempt : broken.stream,
+            .after_event = broken.last_event,
+            .last_event = broken.last_event};
+}
+
 soak_traffic::message soak_traffic::make_message(soak_request const& request) const
 {
     platform::standin_deployment const deployment;
@@ -96,6 +111,11 @@
         result.set(to_beast(wire::model), options_.model + '/' + request.adapter);
         result.set(to_beast(wire::token_count), fmt::format("100,{}", stream_events));
         result.set(to_beast(wire::prompt_parts), "1:50,2:50");
+        if (request.after_event != 0)
+        {
+            result.set(to_beast(wire::last_event), fmt::to_string(request.after_event));
+            result.set(to_beast(wire::resumed_attempt), request.stream);
+        }
     }
 
     // All safe requests have the same content, like requests for a popular item
@@ -110,10 +130,25 @@
     if (request.kind != soak_kind::stream)
         return body.starts_with(
             boost::json::serialize(boost::json::object{{"attempt", request.attempt}}));
-    std::string expected;
-    for (std::uint64_t event = 1; event <= stream_events; ++event)
-        expected += fmt::format("id: {}\ndata: {}:{}\n\n", event, request.attempt, event);
-    return body == expected;
+    return request.last_event == stream_events && body.ends_with(event_end);
+}
+
+void soak_traffic::read_events(soak_request& request, std::string const& body)
+{
+    // Stops at the first event that is not the next one of this attempt
+    std::size_t begin = 0;
+    for (auto end = body.find(event_end); end != std::string::npos;
+         end = body.find(event_end, begin))
+    {
+        auto const event = body.substr(begin, end - begin);
+        begin = end + event_end.size();
+        auto const expected = fmt::format("id: {}\ndata: {}:{}:", request.last_event + 1,
+                                          request.attempt, request.last_event + 1);
+        if (!event.starts_with(expected))
+            return;
+        request.software.insert(event.substr(expected.size()));
+        ++request.last_event;
+    }
 }
 
 asio::awaitable<void> soak_traffic::exchange(std::optional<stream_type>& stream,
@@ -144,6 +179,8 @@
     if (parser.is_header_done())
         request.status = parser.get().result_int();
     request.ended = !error && parser.is_done();
+    if (request.kind == soak_kind::stream && request.status == 200)
+        read_events(request, parser.get().body());
     request.correct = request.ended && is_correct(request, parser.get().body());
     if (!request.ended || !parser.keep_alive())
         stream.reset();
@@ -161,9 +198,16 @@
         auto request =
             choose_request(node, static_cast<soak_kind>(pick_kind(random)), random);
         co_await exchange(stream, request);
+        add(request);
+        for (int resumes = 0; resumes < max_resumes && !stopped_ && !request.ended &&
+                              request.last_event != 0;
+             ++resumes)
         {
-            std::lock_guard const lock(mutex_);
-            requests_.push_back(std::move(request));
+            // Another node continues the stream, on a connection of its own
+            std::optional<stream_type> other;
+            request = continue_stream(request);
+            co_await exchange(other, request);
+            add(request);
         }
         timer.expires_after(std::chrono::milliseconds(pick_pause(random)));
         co_await timer.async_wait(asio::use_awaitable);
@@ -171,6 +215,12 @@
     --running_;
 }
 
+void soak_traffic::add(soak_request const& request)
+{
+    std::lock_guard const lock(mutex_);
+    requests_.push_back(request);
+}
+
 soak_request soak_traffic::send_once(std::size_t node, soak_kind kind)
 {
     random_engine random(options_.seed);
--- a/tests/soak/soak_traffic.hpp
+++ b/tests/soak/soak_traffic.hpp
@@ -75,6 +75,12 @@
     boost::asio::awaitable<void> exchange(std::optional<stream_type>& stream,
                                           soak_request& request);
     soak_request choose_request(std::size_t node, soak_kind kind, random_engine& random);
+    // The request that continues a broken stream at another node
+    soak_request continue_stream(soak_request const& broken);
+    // Adds an ended request to the list
+    void add(soak_request const& request);
+    // Reads the whole events of an answer in order
+    static void read_events(soak_request& request, std::string const& body);
     [[nodiscard]] message make_message(soak_request const& request) const;
     [[nodiscard]] static bool is_correct(soak_request const& request,
                                          std::string const& body);
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -186,6 +186,16 @@
         listener.start();
     }
 
+    // Announces a software version of one of the endpoints
+    void set_software_version(std::size_t index, std::string const& version)
+    {
+        auto const name = fmt::format("i-{}", index);
+        auto announced = context.dispatch.find(endpoint_id::of(name))->announced;
+        announced.software_version = version;
+        context.dispatch.on_endpoint(
+            {.change = endpoint_change::updated, .endpoint = announced}, boot_now());
+    }
+
     // Sends a request and reads until the connection ends; returns what was read
     std::string send_request(http::verb method, std::string const& path)
     {
@@ -378,6 +388,30 @@
     BOOST_TEST(entry.servers[1]->requests.at(0)["Last-Event-Id"] == "2");
 }
 
+// The other endpoint continued the stream, although what it writes does not fit
+BOOST_AUTO_TEST_CASE(a_stream_is_not_continued_by_another_software_version)
+{
+    entry_fixture entry({{stream_head() + chunk(events(1, 2))}},
+                        {{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}});
+    entry.set_software_version(0, "v1");
+    entry.set_software_version(1, "v2");
+    auto const answer = entry.send_request(http::verb::post, "/resumable/x");
+    BOOST_TEST(contains(answer, "data: 2"));
+    BOOST_TEST(!contains(answer, "data: 3"));
+    BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(entry.sends() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_events_may_begin_at_another_software_version)
+{
+    entry_fixture entry({{stream_head() + chunk("id: 1\nda")}},
+                        {{stream_head() + chunk(events(1, 2)) + "0\r\n\r\n"}});
+    entry.set_software_version(0, "v1");
+    entry.set_software_version(1, "v2");
+    auto const answer = entry.send_request(http::verb::post, "/resumable/x");
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_safe_request_leaves_a_silent_endpoint_for_another)
 {
     entry_fixture entry({{"", false}}, {{sealed("second")}});
