--- a/marjorampath/core/identifier.hpp
+++ b/marjorampath/core/identifier.hpp
@@ -73,6 +73,8 @@
 using resource_id = identifier<struct resource_tag>;
 /// A caller's request, unique across hosts.
 using request_id = identifier<struct request_tag>;
+/// A stream of events, by the caller's attempt that received its first event.
+using stream_id = identifier<struct stream_tag>;
 /// The content of a request; the same for a request that is sent again.
 using fingerprint_id = identifier<struct fingerprint_tag>;
 
--- /dev/null
+++ b/marjorampath/deployment/software_history.cpp
@@ -0,0 +1,54 @@
+#include <marjorampath/deployment/software_history.hpp>
+
+namespace marjorampath
+{
+
+void software_history::on_endpoint(endpoint_event const& event, time_point now)
+{
+    known_since_ = known_since_.value_or(now);
+    auto const& announced = event.endpoint;
+    auto const found = endpoints_.find(announced.id);
+    if (found != endpoints_.end() &&
+        (event.change == endpoint_change::gone ||
+         found->second.service != announced.service ||
+         found->second.software_version != announced.software_version))
+        departed_[{found->second.service, found->second.software_version}] = now;
+    if (event.change == endpoint_change::gone)
+        endpoints_.erase(announced.id);
+    else
+        endpoints_[announced.id] = announced;
+    std::erase_if(departed_, [&](auto const& entry)
+                  { return now - entry.second > max_stream_age_; });
+}
+
+std::optional<std::string>
+software_history::only_version(service_id service, time_point now,
+                               wall_milliseconds wall_now) const
+{
+    std::optional<std::string> only;
+    auto const differs = [&](std::string const& version)
+    {
+        only = only.value_or(version);
+        return *only != version;
+    };
+    auto const known_long_enough = known_since_ && now - *known_since_ >= max_stream_age_;
+    auto const max_age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(max_stream_age_);
+    for (auto const& [id, endpoint] : endpoints_)
+    {
+        if (endpoint.service != service)
+            continue;
+        wall_milliseconds const started(
+            static_cast<std::int64_t>(endpoint.started_at_ms));
+        if (differs(endpoint.software_version) ||
+            (!known_long_enough && started + max_age > wall_now))
+            return std::nullopt;
+    }
+    for (auto const& [key, left_at] : departed_)
+        if (key.first == service && now - left_at <= max_stream_age_ &&
+            differs(key.second))
+            return std::nullopt;
+    return only;
+}
+
+} // namespace marjorampath
--- /dev/null
+++ b/marjorampath/deployment/software_history.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/time.hpp>
+#include <marjorampath/deployment/endpoint_catalog.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace marjorampath
+{
+
+/// The software versions of each service's endpoints, now and in the recent past.
+///
+/// A stream whose origin is not known may go on only if no other version can have begun
+/// it.
+class software_history
+{
+public:
+    /// Constructs a history without endpoints. `max_stream_age` is the longest time over
+    /// which a stream may be continued.
+    explicit software_history(duration max_stream_age) : max_stream_age_(max_stream_age)
+    {
+    }
+
+    /// Processes a change to the endpoint catalog.
+    void on_endpoint(endpoint_event const& event, time_point now);
+
+    /// The version that began every stream of a service that can still be continued;
+    /// empty if there may be several.
+    ///
+    /// A host that has known the endpoints for less than the longest age of a stream
+    /// relies on their starts: during a rollout some have started recently.
+    [[nodiscard]] std::optional<std::string>
+    only_version(service_id service, time_point now, wall_milliseconds wall_now) const;
+
+private:
+    duration max_stream_age_;
+    // When the first endpoint was listed
+    std::optional<time_point> known_since_;
+    // Present endpoints
+    std::map<endpoint_id, endpoint_announcement> endpoints_;
+    // When the last endpoint with a version left, by service and version
+    std::map<std::pair<service_id, std::string>, time_point> departed_;
+};
+
+} // namespace marjorampath
--- a/marjorampath/dispatch/call.hpp
+++ b/marjorampath/dispatch/call.hpp
@@ -5,6 +5,7 @@
 #include <marjorampath/deployment/call_kind.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,9 @@
     duration objective = std::chrono::seconds(1);
     /// When the request was read.
     time_point arrived;
+    /// Software version of the endpoint that must run it, because that version began the
+    /// stream; empty for any.
+    std::optional<std::string> software_version;
     /// When the caller's deadline or the timeout of the route ends, whichever is earlier.
     time_point deadline;
     /// Hash of the `Host` field, the request target and the body; equal if the same
--- a/marjorampath/dispatch/dispatcher_decide.cpp
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -32,6 +32,13 @@
     return from_ms(factor * std::chrono::duration<double, std::milli>(time).count());
 }
 
+// Whether an endpoint may continue the stream of a request
+bool fits(call const& request, endpoint_announcement const& announced)
+{
+    return !request.software_version ||
+           *request.software_version == announced.software_version;
+}
+
 } // namespace
 
 std::vector<dispatcher::candidate>
@@ -46,6 +53,7 @@
         auto const& announced = view.announced;
         if (announced.service != request.service || announced.draining ||
             !view.breaker.allows(now) || is_rate_limited(id, now) ||
+            !fits(request, announced) ||
             std::find(tried.begin(), tried.end(), id) != tried.end())
             continue;
         auto expected = failure_cost(view, request.objective) +
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -72,6 +72,22 @@
   limit @3 :RateLimit;
 }
 
+struct StreamOrigin {
+  stream @0 :UInt64;
+  software @1 :Text;
+}
+
+struct StreamOriginQuery {
+  number @0 :UInt64;
+  stream @1 :UInt64;
+}
+
+struct StreamOriginReply {
+  number @0 :UInt64;
+  known @1 :Bool;
+  software @2 :Text;
+}
+
 struct PeerBeat {
   host @0 :UInt64;
   zone @1 :UInt64;
@@ -121,5 +137,8 @@
     permitRequest @8 :PermitRequest;
     permitReply @9 :PermitReply;
     rateLimit @10 :RateLimit;
+    streamOrigin @11 :StreamOrigin;
+    streamOriginQuery @12 :StreamOriginQuery;
+    streamOriginReply @13 :StreamOriginReply;
   }
 }
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -29,6 +29,9 @@
 CAPNP_DECLARE_SCHEMA(abdb41dcb222b28d);
 CAPNP_DECLARE_SCHEMA(e022f799a4795b16);
 CAPNP_DECLARE_SCHEMA(91c6683a75ec0c42);
+CAPNP_DECLARE_SCHEMA(b86b9fe2a43d575c);
+CAPNP_DECLARE_SCHEMA(de03069ca77a9ecc);
+CAPNP_DECLARE_SCHEMA(dc4baf79047496ac);
 CAPNP_DECLARE_SCHEMA(971727d6bb86b28a);
 CAPNP_DECLARE_SCHEMA(96cbd4fe8a8c5b2b);
 CAPNP_DECLARE_SCHEMA(bd4bd6b5542b57b5);
@@ -176,6 +179,51 @@
   };
 };
 
+struct StreamOrigin {
+  StreamOrigin() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b86b9fe2a43d575c, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamOriginQuery {
+  StreamOriginQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de03069ca77a9ecc, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamOriginReply {
+  StreamOriginReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc4baf79047496ac, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerBeat {
   PeerBeat() = delete;
 
@@ -254,6 +302,9 @@
     PERMIT_REQUEST,
     PERMIT_REPLY,
     RATE_LIMIT,
+    STREAM_ORIGIN,
+    STREAM_ORIGIN_QUERY,
+    STREAM_ORIGIN_REPLY,
   };
 
   struct _capnpPrivate {
@@ -1139,6 +1190,264 @@
 };
 #endif  // !CAPNP_LITE
 
+class StreamOrigin::Reader {
+public:
+  typedef StreamOrigin Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream() const;
+
+  inline bool hasSoftware() const;
+  inline  ::capnp::Text::Reader getSoftware() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOrigin::Builder {
+public:
+  typedef StreamOrigin Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+  inline bool hasSoftware();
+  inline  ::capnp::Text::Builder getSoftware();
+  inline void setSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftware(unsigned int size);
+  inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOrigin::Pipeline {
+public:
+  typedef StreamOrigin Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOriginQuery::Reader {
+public:
+  typedef StreamOriginQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getStream() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOriginQuery::Builder {
+public:
+  typedef StreamOriginQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getStream();
+  inline void setStream( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOriginQuery::Pipeline {
+public:
+  typedef StreamOriginQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamOriginReply::Reader {
+public:
+  typedef StreamOriginReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool getKnown() const;
+
+  inline bool hasSoftware() const;
+  inline  ::capnp::Text::Reader getSoftware() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamOriginReply::Builder {
+public:
+  typedef StreamOriginReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool getKnown();
+  inline void setKnown(bool value);
+
+  inline bool hasSoftware();
+  inline  ::capnp::Text::Builder getSoftware();
+  inline void setSoftware( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSoftware(unsigned int size);
+  inline void adoptSoftware(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSoftware();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamOriginReply::Pipeline {
+public:
+  typedef StreamOriginReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerBeat::Reader {
 public:
   typedef PeerBeat Reads;
@@ -1652,6 +1961,18 @@
   inline bool hasRateLimit() const;
   inline  ::marjorampath::schema::RateLimit::Reader getRateLimit() const;
 
+  inline bool isStreamOrigin() const;
+  inline bool hasStreamOrigin() const;
+  inline  ::marjorampath::schema::StreamOrigin::Reader getStreamOrigin() const;
+
+  inline bool isStreamOriginQuery() const;
+  inline bool hasStreamOriginQuery() const;
+  inline  ::marjorampath::schema::StreamOriginQuery::Reader getStreamOriginQuery() const;
+
+  inline bool isStreamOriginReply() const;
+  inline bool hasStreamOriginReply() const;
+  inline  ::marjorampath::schema::StreamOriginReply::Reader getStreamOriginReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1769,6 +2090,30 @@
   inline void adoptRateLimit(::capnp::Orphan< ::marjorampath::schema::RateLimit>&& value);
   inline ::capnp::Orphan< ::marjorampath::schema::RateLimit> disownRateLimit();
 
+  inline bool isStreamOrigin();
+  inline bool hasStreamOrigin();
+  inline  ::marjorampath::schema::StreamOrigin::Builder getStreamOrigin();
+  inline void setStreamOrigin( ::marjorampath::schema::StreamOrigin::Reader value);
+  inline  ::marjorampath::schema::StreamOrigin::Builder initStreamOrigin();
+  inline void adoptStreamOrigin(::capnp::Orphan< ::marjorampath::schema::StreamOrigin>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::StreamOrigin> disownStreamOrigin();
+
+  inline bool isStreamOriginQuery();
+  inline bool hasStreamOriginQuery();
+  inline  ::marjorampath::schema::StreamOriginQuery::Builder getStreamOriginQuery();
+  inline void setStreamOriginQuery( ::marjorampath::schema::StreamOriginQuery::Reader value);
+  inline  ::marjorampath::schema::StreamOriginQuery::Builder initStreamOriginQuery();
+  inline void adoptStreamOriginQuery(::capnp::Orphan< ::marjorampath::schema::StreamOriginQuery>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::StreamOriginQuery> disownStreamOriginQuery();
+
+  inline bool isStreamOriginReply();
+  inline bool hasStreamOriginReply();
+  inline  ::marjorampath::schema::StreamOriginReply::Builder getStreamOriginReply();
+  inline void setStreamOriginReply( ::marjorampath::schema::StreamOriginReply::Reader value);
+  inline  ::marjorampath::schema::StreamOriginReply::Builder initStreamOriginReply();
+  inline void adoptStreamOriginReply(::capnp::Orphan< ::marjorampath::schema::StreamOriginReply>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::StreamOriginReply> disownStreamOriginReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2508,6 +2853,144 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t StreamOrigin::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOrigin::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOrigin::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOrigin::Reader::hasSoftware() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOrigin::Builder::hasSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOrigin::Reader::getSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::getSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOrigin::Builder::setSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOrigin::Builder::initSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamOrigin::Builder::adoptSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOrigin::Builder::disownSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t StreamOriginQuery::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOriginQuery::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginQuery::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamOriginQuery::Reader::getStream() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOriginQuery::Builder::getStream() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginQuery::Builder::setStream( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StreamOriginReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StreamOriginReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOriginReply::Reader::getKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StreamOriginReply::Builder::getKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StreamOriginReply::Builder::setKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StreamOriginReply::Reader::hasSoftware() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamOriginReply::Builder::hasSoftware() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StreamOriginReply::Reader::getSoftware() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StreamOriginReply::Builder::getSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamOriginReply::Builder::setSoftware( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StreamOriginReply::Builder::initSoftware(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamOriginReply::Builder::adoptSoftware(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StreamOriginReply::Builder::disownSoftware() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerBeat::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3637,6 +4120,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isStreamOrigin() const {
+  return which() == PeerMessage::STREAM_ORIGIN;
+}
+inline bool PeerMessage::Builder::isStreamOrigin() {
+  return which() == PeerMessage::STREAM_ORIGIN;
+}
+inline bool PeerMessage::Reader::hasStreamOrigin() const {
+  if (which() != PeerMessage::STREAM_ORIGIN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamOrigin() {
+  if (which() != PeerMessage::STREAM_ORIGIN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::StreamOrigin::Reader PeerMessage::Reader::getStreamOrigin() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOrigin>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::StreamOrigin::Builder PeerMessage::Builder::getStreamOrigin() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOrigin>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamOrigin( ::marjorampath::schema::StreamOrigin::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOrigin>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::StreamOrigin::Builder PeerMessage::Builder::initStreamOrigin() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOrigin>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamOrigin(
+    ::capnp::Orphan< ::marjorampath::schema::StreamOrigin>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOrigin>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::StreamOrigin> PeerMessage::Builder::disownStreamOrigin() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOrigin>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isStreamOriginQuery() const {
+  return which() == PeerMessage::STREAM_ORIGIN_QUERY;
+}
+inline bool PeerMessage::Builder::isStreamOriginQuery() {
+  return which() == PeerMessage::STREAM_ORIGIN_QUERY;
+}
+inline bool PeerMessage::Reader::hasStreamOriginQuery() const {
+  if (which() != PeerMessage::STREAM_ORIGIN_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamOriginQuery() {
+  if (which() != PeerMessage::STREAM_ORIGIN_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::StreamOriginQuery::Reader PeerMessage::Reader::getStreamOriginQuery() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::StreamOriginQuery::Builder PeerMessage::Builder::getStreamOriginQuery() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamOriginQuery( ::marjorampath::schema::StreamOriginQuery::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_QUERY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::StreamOriginQuery::Builder PeerMessage::Builder::initStreamOriginQuery() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_QUERY);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamOriginQuery(
+    ::capnp::Orphan< ::marjorampath::schema::StreamOriginQuery>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_QUERY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::StreamOriginQuery> PeerMessage::Builder::disownStreamOriginQuery() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isStreamOriginReply() const {
+  return which() == PeerMessage::STREAM_ORIGIN_REPLY;
+}
+inline bool PeerMessage::Builder::isStreamOriginReply() {
+  return which() == PeerMessage::STREAM_ORIGIN_REPLY;
+}
+inline bool PeerMessage::Reader::hasStreamOriginReply() const {
+  if (which() != PeerMessage::STREAM_ORIGIN_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasStreamOriginReply() {
+  if (which() != PeerMessage::STREAM_ORIGIN_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::StreamOriginReply::Reader PeerMessage::Reader::getStreamOriginReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::StreamOriginReply::Builder PeerMessage::Builder::getStreamOriginReply() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setStreamOriginReply( ::marjorampath::schema::StreamOriginReply::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_REPLY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::StreamOriginReply::Builder PeerMessage::Builder::initStreamOriginReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_REPLY);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptStreamOriginReply(
+    ::capnp::Orphan< ::marjorampath::schema::StreamOriginReply>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_REPLY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::StreamOriginReply> PeerMessage::Builder::disownStreamOriginReply() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::StreamOriginReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -4,11 +4,14 @@
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
 #include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
+#include <marjorampath/stream_origin/stream_origin.hpp>
+#include <marjorampath/stream_origin/stream_origin_messages.hpp>
 #include <marjorampath/suspect/suspect_registry.hpp>
 #include <serving/caller/caller_context.hpp>
 #include <serving/endpoint/connection_pool.hpp>
 #include <serving/entry/entry_metrics.hpp>
 #include <serving/entry/lost_attempts.hpp>
+#include <serving/entry/pending_replies.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -50,12 +53,10 @@
     duration permit_timeout = std::chrono::milliseconds(25);
     /// Pause before a permit is requested again after a request without a reply.
     duration permit_retry_pause = std::chrono::milliseconds(100);
+    /// Time to wait for the origin of a stream from other hosts.
+    duration origin_timeout = std::chrono::milliseconds(25);
 };
 
-/// Timers of the exchanges that wait for an update of a key.
-template <class Key>
-using waiting_timers = std::multimap<Key, boost::asio::steady_timer*>;
-
 /// State that the exchanges of an entry host share.
 struct entry_context
 {
@@ -91,18 +92,25 @@
     std::function<std::optional<permit_reply>(endpoint_id, std::uint64_t)> request_permit;
     /// Tells the host that issues an endpoint's permits what its answer said.
     std::function<void(rate_limit_notice const&)> report_rate_limit;
+    /// Remembers the origin of a stream that begins at this host, also at other hosts.
+    std::function<void(stream_origin const&)> remember_stream;
+    /// The software version that began a stream, under a number of its own. Empty if
+    /// other hosts were asked; the first reply of one that knows the stream ends the wait
+    /// in `origin_replies`.
+    std::function<std::optional<std::string>(stream_id, std::uint64_t)> find_stream;
+    /// The software version that began every stream of a service that can still be
+    /// continued; empty if there may be several.
+    std::function<std::optional<std::string>(service_id)> only_software_version;
     /// Number of hosts that share the retry budgets.
     std::function<std::size_t()> host_count;
     /// Timers of the exchanges that wait for an adapter to be loaded, by `MODEL/ADAPTER`.
     waiting_timers<std::string> adapter_waiters;
     /// Timers of the exchanges that wait for an engine's status.
     waiting_timers<endpoint_id> status_waiters;
-    /// Timers of the exchanges that wait for a permit, by its number.
-    waiting_timers<std::uint64_t> permit_waiters;
-    /// Replies to these exchanges, by number.
-    std::map<std::uint64_t, permit_reply> permit_replies;
-    /// Number of the last request for a permit.
-    std::uint64_t last_permit_number = 0;
+    /// Replies to requests for permits.
+    pending_replies<permit_reply> permit_replies;
+    /// Replies to questions for the origins of streams.
+    pending_replies<stream_origin_reply> origin_replies;
 
     /// Applies what an endpoint's answer said of the rate of requests that it accepts;
     /// returns whether that changed the limit in force.
@@ -122,15 +130,6 @@
         dispatch.set_rate_limit(endpoint, std::nullopt);
     }
 
-    /// Passes the reply to a request for a permit to the exchange that waits for it.
-    void deliver(permit_reply const& reply)
-    {
-        if (!permit_waiters.contains(reply.number))
-            return;
-        permit_replies[reply.number] = reply;
-        cancel(permit_waiters, reply.number);
-    }
-
     /// Wakes the exchanges that wait for an engine's status.
     void wake(endpoint_id engine)
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -103,6 +103,13 @@
     // Reads the answer to this request, skipping answers to other requests
     boost::asio::awaitable<attempt_end> read_answer(endpoint_announcement const& endpoint,
                                                     directory_entry const& entry);
+    // Finds the software version that must continue the caller's stream; refuses the
+    // request if that is not known
+    boost::asio::awaitable<void> find_origin();
+    // Asks this host and others for the software version that began a stream
+    boost::asio::awaitable<std::optional<std::string>> query_origin();
+    // Lets only the software version of the current endpoint continue the stream
+    void pin_software_version();
     // Makes an attempt; at an endpoint that limits its rate only with a permit, else
     // leaves the request for the next decision or refuses it
     boost::asio::awaitable<void> attempt_with_permit(endpoint_announcement endpoint);
@@ -178,6 +185,8 @@
     endpoint_connection connection_;
     // Endpoint of the current attempt
     endpoint_id current_endpoint_;
+    // Software version that it announced when the attempt began
+    std::string current_software_version_;
     // Endpoints that are excluded from further attempts
     std::vector<endpoint_id> excluded_endpoints_;
     // Splits the stream into events, over all attempts
@@ -214,3 +223,4 @@
 
 #include <serving/entry/entry_exchange.inl>
 #include <serving/entry/entry_exchange_limits.inl>
+#include <serving/entry/entry_exchange_origin.inl>
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -31,6 +31,8 @@
     control_->start_deadline(request_.dispatch_call.deadline - begin_);
     session_->watch_disconnect([control = control_]
                                { control->abort(error_kind::caller_gone); });
+    if (request_.last_event != 0 && is_stream(request_.dispatch_call.kind))
+        co_await find_origin();
     while (!concluded_)
         co_await step();
     session_->unwatch_disconnect();
@@ -144,6 +146,7 @@
     longest_pause_ = {};
     timeout_ = nullptr;
     current_endpoint_ = endpoint.id;
+    current_software_version_ = endpoint.software_version;
     auto const limit = context_->rate_limits.limit_of(endpoint.id);
     if (limit)
         context_->metrics.shard.number(limited_sends_metric).add();
@@ -419,6 +422,7 @@
         log_event(event::request_answered, "request", request_.caller_attempt_id,
                   "first_event_ms", (boot_now() - begin_).count() / 1'000'000);
         head_sent_ = true;
+        pin_software_version();
         auto head = Dialect::caller_head(reader.get_head());
         head.erase(boost::beast::http::field::content_length);
         if (session_->accepts_chunks())
--- a/serving/entry/entry_exchange_limits.inl
+++ b/serving/entry/entry_exchange_limits.inl
@@ -22,14 +22,13 @@
 boost::asio::awaitable<bool>
 entry_exchange<Dialect>::acquire_permit(endpoint_announcement const& endpoint)
 {
-    auto const number = ++context_->last_permit_number;
+    auto const number = context_->permit_replies.next_number();
     auto reply = context_->request_permit(endpoint.id, number);
     if (!reply)
     {
-        co_await wait_until_notified(context_->permit_waiters, number,
+        co_await wait_until_notified(context_->permit_replies.waiters, number,
                                      context_->times.permit_timeout);
-        if (auto node = context_->permit_replies.extract(number))
-            reply = node.mapped();
+        reply = context_->permit_replies.take(number);
     }
     context_->metrics.count(permits_metric, "result",
                             !reply           ? "no_reply"
--- /dev/null
+++ b/serving/entry/entry_exchange_origin.inl
@@ -0,0 +1,57 @@
+namespace marjorampath::serving
+{
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<void> entry_exchange<Dialect>::find_origin()
+{
+    auto& required = request_.dispatch_call.software_version;
+    required = context_->only_software_version(request_.dispatch_call.service);
+    auto source = required ? "only_version" : "none";
+    if (!required && !request_.resumed_attempt.empty())
+    {
+        required = co_await query_origin();
+        if (required)
+            source = "record";
+    }
+    log_event(event::stream_resumed, "request", request_.caller_attempt_id, "resumes",
+              request_.resumed_attempt, "after_event", request_.last_event, "source",
+              source, "software", required.value_or(std::string()));
+    if (!required && !aborted())
+        co_await conclude_failed(error_kind::no_endpoint, {});
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<std::optional<std::string>> entry_exchange<Dialect>::query_origin()
+{
+    auto const stream = stream_id::of(request_.resumed_attempt);
+    auto const number = context_->origin_replies.next_number();
+    auto known = context_->find_stream(stream, number);
+    if (!known)
+    {
+        co_await wait_until_notified(context_->origin_replies.waiters, number,
+                                     context_->times.origin_timeout);
+        if (auto const reply = context_->origin_replies.take(number))
+            known = reply->software_version;
+    }
+    co_return known;
+}
+
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::pin_software_version()
+{
+    auto& required = request_.dispatch_call.software_version;
+    if (!required)
+        required = current_software_version_;
+    if (request_.dispatch_call.kind != call_kind::continuable_stream)
+        return;
+
+    // The caller names the attempt that received the first event if it continues the
+    // stream elsewhere
+    auto const& first = request_.last_event == 0 ? request_.caller_attempt_id
+                                                 : request_.resumed_attempt;
+    if (!first.empty())
+        context_->remember_stream(
+            {.stream = stream_id::of(first), .software_version = *required});
+}
+
+} // namespace marjorampath::serving
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -191,6 +191,31 @@
     events_.on_rate_limit(notice);
 }
 
+void entry_fleet::handle(stream_origin const& origin)
+{
+    events_.on_stream_origin(origin);
+}
+
+void entry_fleet::handle(stream_origin_query const& query)
+{
+    send(events_.on_stream_origin_query(query), sender());
+}
+
+void entry_fleet::handle(stream_origin_reply const& reply)
+{
+    events_.on_stream_origin_reply(reply);
+}
+
+void entry_fleet::report_stream_origin(stream_origin const& origin, host_id to)
+{
+    send(origin, to);
+}
+
+void entry_fleet::query_stream_origin(stream_origin_query const& query, host_id from)
+{
+    send(query, from);
+}
+
 void entry_fleet::request_permit(permit_request const& request, host_id from)
 {
     send(request, from);
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -59,6 +59,12 @@
     std::function<void(permit_reply const&)> on_permit_reply;
     /// Handles what another host learnt of the request rate that an endpoint accepts.
     std::function<void(rate_limit_notice const&)> on_rate_limit;
+    /// Remembers the origin of a stream for another host.
+    std::function<void(stream_origin const&)> on_stream_origin;
+    /// Answers another host's question for the origin of a stream.
+    std::function<stream_origin_reply(stream_origin_query const&)> on_stream_origin_query;
+    /// Handles the reply to such a question of this host.
+    std::function<void(stream_origin_reply const&)> on_stream_origin_reply;
     /// This host gained an engine's lease, or must use this higher fencing number for it.
     /// The flag is true if no other host has held the lease since this host last did.
     std::function<void(endpoint_id, std::uint64_t, bool)> on_acquired;
@@ -99,6 +105,13 @@
     /// Tells another host what an endpoint said of the request rate that it accepts.
     void report_rate_limit(rate_limit_notice const& notice, host_id to);
 
+    /// Tells another host the origin of a stream.
+    void report_stream_origin(stream_origin const& origin, host_id to);
+
+    /// Asks another host for the origin of a stream. The reply arrives through
+    /// `on_stream_origin_reply`, or never if a datagram is lost.
+    void query_stream_origin(stream_origin_query const& query, host_id from);
+
     /// Sends a heartbeat to every host now instead of at the next interval, as after a
     /// change of the configuration.
     void send_heartbeats();
@@ -157,6 +170,9 @@
     void handle(permit_request const& request);
     void handle(permit_reply const& reply);
     void handle(rate_limit_notice const& notice);
+    void handle(stream_origin const& origin);
+    void handle(stream_origin_query const& query);
+    void handle(stream_origin_reply const& reply);
     // Runs the lease state machines and sends heartbeats when they are due
     void tick();
 
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -2,7 +2,10 @@
 
 #include <marjorampath/adapter_load/load_planner.hpp>
 #include <marjorampath/deployment/endpoint_catalog.hpp>
+#include <marjorampath/deployment/software_history.hpp>
 #include <marjorampath/peer/relay_choice.hpp>
+#include <marjorampath/stream_origin/stream_origin_table.hpp>
+#include <marjorampath/stream_origin/stream_replicas.hpp>
 #include <serving/caller/caller_listener.hpp>
 #include <serving/caller/caller_session.hpp>
 #include <serving/clock/boot_time.hpp>
@@ -99,6 +102,13 @@
     // thousands of adapter versions
     static constexpr std::size_t max_relay_answer_bytes = 8'000'000;
 
+    // Other hosts that remember the origin of a stream. All may be lost at once, and then
+    // it is unknown
+    static constexpr std::size_t origin_replicas = 4;
+    // Other hosts that are asked for it: more, as others may have been alive when the
+    // stream began
+    static constexpr std::size_t origin_queries = 6;
+
     using engine_client = typename Platform::engine_client;
     using view_source = typename Platform::view_source;
 
@@ -191,6 +201,15 @@
     // Applies what another host knows of an endpoint's rate
     void apply_peer_rate_limit(rate_limit_notice const& notice);
 
+    // Remembers the origin of a stream here and at some other hosts
+    void remember_stream(stream_origin const& origin);
+    // The software version that began a stream; asks other hosts if it is not known here
+    std::optional<std::string> find_stream(stream_id stream, std::uint64_t number);
+    // Answers another host's question for the origin of a stream
+    stream_origin_reply on_stream_origin_query(stream_origin_query const& query);
+    // Handles the reply to such a question of this host
+    void on_stream_origin_reply(stream_origin_reply const& reply);
+
     // Watches for signals
     void watch_signals();
     // Reads the settings again and applies those that can change
@@ -240,6 +259,10 @@
     endpoint_catalog catalog_;
     // Plans the orders to engines
     load_planner planner_;
+    // Origins of streams, for callers that continue them here or at another host
+    stream_origin_table stream_origins_;
+    // Software versions of the services' endpoints
+    software_history software_;
     // Membership in the fleet
     entry_fleet fleet_;
     // Last listing as text for other hosts
@@ -274,4 +297,5 @@
 
 #include <serving/entry/entry_node.inl>
 #include <serving/entry/entry_node_limits.inl>
+#include <serving/entry/entry_node_streams.inl>
 #include <serving/entry/entry_node_view.inl>
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -19,6 +19,8 @@
       engines_(order_connections_, settings_.host), catalog_({}),
       planner_(
           {.takeover_delay = settings_.order_quiet + std::chrono::milliseconds(100)}),
+      stream_origins_(stream_origin_options{}),
+      software_(stream_origin_options{}.max_stream_age),
       fleet_(loop_, make_fleet_options(), make_fleet_events())
 {
 }
@@ -70,11 +72,17 @@
             { return request_permit(endpoint, number); },
             .report_rate_limit = [this](rate_limit_notice const& notice)
             { report_rate_limit(notice); },
+            .remember_stream = [this](stream_origin const& origin)
+            { remember_stream(origin); },
+            .find_stream = [this](stream_id stream, std::uint64_t number)
+            { return find_stream(stream, number); },
+            .only_software_version = [this](service_id service)
+            { return software_.only_version(service, boot_now(), wall_now()); },
             .host_count = [this] { return fleet_.peers().responsive_hosts(boot_now()); },
             .adapter_waiters = {},
             .status_waiters = {},
-            .permit_waiters = {},
-            .permit_replies = {}};
+            .permit_replies = {},
+            .origin_replies = {}};
 }
 
 template <entry_platform Platform>
@@ -124,6 +132,12 @@
         .on_permit_reply = [this](permit_reply const& reply) { on_permit_reply(reply); },
         .on_rate_limit = [this](rate_limit_notice const& notice)
         { apply_peer_rate_limit(notice); },
+        .on_stream_origin = [this](stream_origin const& origin)
+        { stream_origins_.remember(origin, boot_now()); },
+        .on_stream_origin_query = [this](stream_origin_query const& query)
+        { return on_stream_origin_query(query); },
+        .on_stream_origin_reply = [this](stream_origin_reply const& reply)
+        { on_stream_origin_reply(reply); },
         .on_acquired = [this](endpoint_id engine, std::uint64_t number, bool continued)
         { planner_.on_lease(engine, number, continued, boot_now()); },
         .on_lost = [this](endpoint_id engine) { planner_.on_lease_lost(engine); }};
--- a/serving/entry/entry_node_limits.inl
+++ b/serving/entry/entry_node_limits.inl
@@ -27,7 +27,7 @@
 void entry_node<Platform>::on_permit_reply(permit_reply const& reply)
 {
     apply_peer_rate_limit(reply.limit);
-    context_.deliver(reply);
+    context_.permit_replies.deliver(reply);
 }
 
 template <entry_platform Platform>
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -158,6 +158,7 @@
         if (change.change == endpoint_change::restarted ||
             change.change == endpoint_change::gone)
             context_.forget_rate_limit(endpoint.id);
+        software_.on_endpoint(change, now);
         context_.dispatch.on_endpoint(change, now);
         planner_.on_endpoint(change, now);
     }
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -183,6 +183,45 @@
     decode(wire.getLimit(), value.limit);
 }
 
+void encode(stream_origin const& value, StreamOrigin::Builder wire)
+{
+    wire.setStream(value.stream.number());
+    wire.setSoftware(value.software_version);
+}
+
+void decode(StreamOrigin::Reader wire, stream_origin& value)
+{
+    decode(wire.getStream(), value.stream);
+    value.software_version = wire.getSoftware().cStr();
+}
+
+void encode(stream_origin_query const& value, StreamOriginQuery::Builder wire)
+{
+    wire.setNumber(value.number);
+    wire.setStream(value.stream.number());
+}
+
+void decode(StreamOriginQuery::Reader wire, stream_origin_query& value)
+{
+    value.number = wire.getNumber();
+    decode(wire.getStream(), value.stream);
+}
+
+void encode(stream_origin_reply const& value, StreamOriginReply::Builder wire)
+{
+    wire.setNumber(value.number);
+    wire.setKnown(value.software_version.has_value());
+    wire.setSoftware(value.software_version.value_or(std::string()));
+}
+
+void decode(StreamOriginReply::Reader wire, stream_origin_reply& value)
+{
+    value.number = wire.getNumber();
+    value.software_version.reset();
+    if (wire.getKnown())
+        value.software_version = wire.getSoftware().cStr();
+}
+
 void encode(peer_heartbeat const& value, PeerBeat::Builder wire)
 {
     wire.setHost(value.host.number());
@@ -315,6 +354,18 @@
     {
         encode(value, wire.initRateLimit());
     }
+    void operator()(stream_origin const& value)
+    {
+        encode(value, wire.initStreamOrigin());
+    }
+    void operator()(stream_origin_query const& value)
+    {
+        encode(value, wire.initStreamOriginQuery());
+    }
+    void operator()(stream_origin_reply const& value)
+    {
+        encode(value, wire.initStreamOriginReply());
+    }
 };
 
 template <class Message, class Reader>
@@ -351,6 +402,12 @@
         return decoded<permit_reply>(wire.getPermitReply());
     case PeerMessage::RATE_LIMIT:
         return decoded<rate_limit_notice>(wire.getRateLimit());
+    case PeerMessage::STREAM_ORIGIN:
+        return decoded<stream_origin>(wire.getStreamOrigin());
+    case PeerMessage::STREAM_ORIGIN_QUERY:
+        return decoded<stream_origin_query>(wire.getStreamOriginQuery());
+    case PeerMessage::STREAM_ORIGIN_REPLY:
+        return decoded<stream_origin_reply>(wire.getStreamOriginReply());
     }
     KJ_FAIL_REQUIRE("unknown message");
 }
--- a/serving/entry/peer_codec.hpp
+++ b/serving/entry/peer_codec.hpp
@@ -7,6 +7,8 @@
 #include <marjorampath/peer/peer_heartbeat.hpp>
 #include <marjorampath/peer/usage_report.hpp>
 #include <marjorampath/rate_limit/permit_messages.hpp>
+#include <marjorampath/stream_origin/stream_origin.hpp>
+#include <marjorampath/stream_origin/stream_origin_messages.hpp>
 
 #include <optional>
 #include <string>
@@ -20,7 +22,8 @@
 using peer_message =
     std::variant<peer_heartbeat, lease_request, lease_reply, lease_release, load_request,
                  load_reply, usage_report, engine_status, permit_request, permit_reply,
-                 rate_limit_notice>;
+                 rate_limit_notice, stream_origin, stream_origin_query,
+                 stream_origin_reply>;
 
 /// Encodes a message as one datagram: a Cap'n Proto message in packed form.
 std::string encode_peer_message(peer_message const& message);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -184,6 +184,10 @@
     event_entry{request_rejected, info, "request_rejected",
                 "A request was answered with an error from this host; `outcome` says "
                 "whether it ran."},
+    event_entry{stream_resumed, info, "stream_resumed",
+                "A caller continues a stream. `software` is the version that began it; "
+                "`source` says how it was found: the service has had only this version, "
+                "or a host remembered it. With `source` none the request is refused."},
     event_entry{request_suspected, warning, "request_suspected",
                 "A request was in flight when its endpoint crashed; it is rerun in "
                 "isolation."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -88,6 +88,7 @@
     attempt_ended = 604,
     request_answered = 605,
     request_rejected = 606,
+    stream_resumed = 607,
     request_suspected = 620,
     request_convicted = 621,
     conviction_expired = 622,
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -186,6 +186,22 @@
         listener.start();
     }
 
+    // The origin of a stream, or nothing if other hosts are asked
+    std::optional<std::string> find_stream(stream_id stream, std::uint64_t number)
+    {
+        auto const found = origins.find(stream);
+        if (found == origins.end())
+            return std::nullopt;
+        if (!origins_are_remote)
+            return found->second;
+        asio::post(loop,
+                   [this, number, version = found->second] {
+                       context.origin_replies.deliver(
+                           {.number = number, .software_version = version});
+                   });
+        return std::nullopt;
+    }
+
     // Announces a software version of one of the endpoints
     void set_software_version(std::size_t index, std::string const& version)
     {
@@ -197,7 +213,9 @@
     }
 
     // Sends a request and reads until the connection ends; returns what was read
-    std::string send_request(http::verb method, std::string const& path)
+    std::string
+    send_request(http::verb method, std::string const& path,
+                 std::vector<std::pair<char const*, char const*>> const& more = {})
     {
         std::string answer;
         asio::co_spawn(
@@ -210,6 +228,8 @@
                 message.set("Host", "a.example");
                 message.set("X-Attempt-Id", "9c41");
                 message.set("X-Deadline-Ms", "2000");
+                for (auto const& [name, value] : more)
+                    message.set(name, value);
                 message.keep_alive(false);
                 message.prepare_payload();
                 co_await http::async_write(socket, message, asio::use_awaitable);
@@ -246,6 +266,10 @@
 
     asio::io_context loop;
     bool done = false;
+    // Origins of streams, and whether another host knows them
+    std::map<stream_id, std::string> origins;
+    bool origins_are_remote = false;
+    std::optional<std::string> only_software_version;
     std::array<std::unique_ptr<scripted_server>, 2> servers;
     metrics_registry metrics;
     peer_table peers{{.host = host_id::of("h")}, {}, {}};
@@ -282,6 +306,11 @@
                 {.number = number, .granted = step.granted, .wait = step.wait});
         },
         .report_rate_limit = [](rate_limit_notice const&) {},
+        .remember_stream = [this](stream_origin const& origin)
+        { origins[origin.stream] = origin.software_version; },
+        .find_stream = [this](stream_id stream, std::uint64_t number)
+        { return find_stream(stream, number); },
+        .only_software_version = [this](service_id) { return only_software_version; },
         .host_count = [] { return std::size_t{1}; },
         .adapter_waiters = {}};
     caller_listener listener{context.callers};
@@ -412,6 +441,59 @@
     BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(the_origin_of_a_stream_is_remembered_with_its_first_event)
+{
+    entry_fixture entry({{stream_head() + chunk(events(1, 2)) + "0\r\n\r\n"}}, {});
+    entry.set_software_version(0, "v1");
+    entry.send_request(http::verb::post, "/resumable/x");
+    BOOST_TEST(entry.origins.at(stream_id::of("9c41")) == "v1");
+}
+
+// Callers continue streams at a host that did not begin them
+BOOST_AUTO_TEST_CASE(a_caller_continues_a_stream_at_the_software_version_that_began_it)
+{
+    for (auto const remote : {false, true})
+    {
+        entry_fixture entry({}, {{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}});
+        entry.set_software_version(0, "v1");
+        entry.set_software_version(1, "v2");
+        entry.origins[stream_id::of("first")] = "v2";
+        entry.origins_are_remote = remote;
+        auto const answer =
+            entry.send_request(http::verb::post, "/resumable/x",
+                               {{"Last-Event-Id", "2"}, {"Resumes", "first"}});
+        BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+        BOOST_TEST(contains(answer, "data: 4"));
+        BOOST_TEST(entry.servers[1]->requests.at(0)["Last-Event-Id"] == "2");
+        BOOST_TEST(entry.servers[1]->requests.at(0)["Resumes"] == "first");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_of_unknown_origin_is_refused_and_not_run)
+{
+    entry_fixture entry({}, {});
+    entry.set_software_version(0, "v1");
+    entry.set_software_version(1, "v2");
+    auto const begin = boot_now();
+    auto const answer = entry.send_request(
+        http::verb::post, "/resumable/x", {{"Last-Event-Id", "2"}, {"Resumes", "first"}});
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(contains(answer, "X-Outcome: not-run"));
+    BOOST_TEST(entry.sends() == 0u);
+    BOOST_TEST((boot_now() - begin < 500ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_of_the_only_software_version_goes_on_without_a_record)
+{
+    entry_fixture entry({{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}}, {});
+    entry.set_software_version(0, "v1");
+    entry.set_software_version(1, "v1");
+    entry.only_software_version = "v1";
+    auto const answer =
+        entry.send_request(http::verb::post, "/resumable/x", {{"Last-Event-Id", "2"}});
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_safe_request_leaves_a_silent_endpoint_for_another)
 {
     entry_fixture entry({{"", false}}, {{sealed("second")}});
--- a/tests/unit/peer/peer_test.cpp
+++ b/tests/unit/peer/peer_test.cpp
@@ -416,6 +416,25 @@
     BOOST_TEST(!serving::decode_peer_message(serving::encode_peer_message(invalid)));
 }
 
+BOOST_AUTO_TEST_CASE(the_origin_of_a_stream_survives_encoding)
+{
+    stream_origin const origin{.stream = stream_id(4), .software_version = "v1.2"};
+    auto const read =
+        serving::decode_peer_message(serving::encode_peer_message(origin)).value();
+    BOOST_TEST((std::get<stream_origin>(read).stream == stream_id(4)));
+    BOOST_TEST(std::get<stream_origin>(read).software_version == "v1.2");
+    for (auto const& version :
+         {std::optional<std::string>(), std::optional<std::string>("")})
+    {
+        stream_origin_reply const reply{.number = 7, .software_version = version};
+        auto const back =
+            serving::decode_peer_message(serving::encode_peer_message(reply)).value();
+        BOOST_TEST(std::get<stream_origin_reply>(back).number == 7u);
+        BOOST_TEST(std::get<stream_origin_reply>(back).software_version.has_value() ==
+                   version.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(corrupted_messages_do_not_crash_the_decoder)
 {
     constexpr std::uint32_t seed = 4;
