Tell hosts that start again the origins of open streams

Callers would see: a stream refused that a host could have continued. Hosts remember origins in memory only; when all are restarted in turn while a stream runs, the four that were told of it forget it, and the loss of the host that serves it then leaves nobody who knows its software version. Change: open_streams has the streams that a host forwards; when another host appears or starts again, it is told the origins that it should remember.

--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -94,6 +94,8 @@
     std::function<void(rate_limit_notice const&)> report_rate_limit;
     /// Remembers the origin of a stream that begins at this host, also at other hosts.
     std::function<void(stream_origin const&)> remember_stream;
+    /// Forgets a stream of `remember_stream` whose answer has ended.
+    std::function<void(stream_id)> forget_open_stream;
     /// The software version that began a stream, under a number of its own. Empty if
     /// other hosts were asked; the first reply of one that knows the stream ends the wait
     /// in `origin_replies`.
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -187,6 +187,8 @@
     endpoint_id current_endpoint_;
     // Software version that it announced when the attempt began
     std::string current_software_version_;
+    // The stream whose origin other hosts remember, once it has begun
+    std::optional<stream_id> open_stream_;
     // Endpoints that are excluded from further attempts
     std::vector<endpoint_id> excluded_endpoints_;
     // Splits the stream into events, over all attempts
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -35,6 +35,8 @@
         co_await find_origin();
     while (!concluded_)
         co_await step();
+    if (open_stream_)
+        context_->forget_open_stream(*open_stream_);
     session_->unwatch_disconnect();
     control_->finish();
 }
--- a/serving/entry/entry_exchange_origin.inl
+++ b/serving/entry/entry_exchange_origin.inl
@@ -49,9 +49,10 @@
     // stream elsewhere
     auto const& first = request_.last_event == 0 ? request_.caller_attempt_id
                                                  : request_.resumed_attempt;
-    if (!first.empty())
-        context_->remember_stream(
-            {.stream = stream_id::of(first), .software_version = *required});
+    if (first.empty())
+        return;
+    open_stream_ = stream_id::of(first);
+    context_->remember_stream({.stream = *open_stream_, .software_version = *required});
 }
 
 } // namespace marjorampath::serving
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -123,6 +123,8 @@
     }
     if (change != peer_change::none)
         update_hosts(now);
+    if (change == peer_change::appeared || change == peer_change::restarted)
+        events_.on_host_appeared(host);
     events_.on_heartbeat(heartbeat);
 }
 
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -59,6 +59,8 @@
     std::function<void(permit_reply const&)> on_permit_reply;
     /// Handles what another host learnt of the request rate that an endpoint accepts.
     std::function<void(rate_limit_notice const&)> on_rate_limit;
+    /// Another host has started, or its heartbeats have resumed.
+    std::function<void(host_id)> on_host_appeared;
     /// Remembers the origin of a stream for another host.
     std::function<void(stream_origin const&)> on_stream_origin;
     /// Answers another host's question for the origin of a stream.
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/deployment/endpoint_catalog.hpp>
 #include <marjorampath/deployment/software_history.hpp>
 #include <marjorampath/peer/relay_choice.hpp>
+#include <marjorampath/stream_origin/open_streams.hpp>
 #include <marjorampath/stream_origin/stream_origin_table.hpp>
 #include <marjorampath/stream_origin/stream_replicas.hpp>
 #include <serving/caller/caller_listener.hpp>
@@ -203,6 +204,8 @@
 
     // Remembers the origin of a stream here and at some other hosts
     void remember_stream(stream_origin const& origin);
+    // Tells a host that has started the origins of open streams that it should remember
+    void report_open_streams(host_id host);
     // The software version that began a stream; asks other hosts if it is not known here
     std::optional<std::string> find_stream(stream_id stream, std::uint64_t number);
     // Answers another host's question for the origin of a stream
@@ -261,6 +264,8 @@
     load_planner planner_;
     // Origins of streams, for callers that continue them here or at another host
     stream_origin_table stream_origins_;
+    // Streams that this host forwards
+    open_streams open_streams_;
     // Software versions of the services' endpoints
     software_history software_;
     // Membership in the fleet
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -74,6 +74,8 @@
             { report_rate_limit(notice); },
             .remember_stream = [this](stream_origin const& origin)
             { remember_stream(origin); },
+            .forget_open_stream = [this](stream_id stream)
+            { open_streams_.remove(stream); },
             .find_stream = [this](stream_id stream, std::uint64_t number)
             { return find_stream(stream, number); },
             .only_software_version = [this](service_id service)
@@ -132,6 +134,7 @@
         .on_permit_reply = [this](permit_reply const& reply) { on_permit_reply(reply); },
         .on_rate_limit = [this](rate_limit_notice const& notice)
         { apply_peer_rate_limit(notice); },
+        .on_host_appeared = [this](host_id host) { report_open_streams(host); },
         .on_stream_origin = [this](stream_origin const& origin)
         { stream_origins_.remember(origin, boot_now()); },
         .on_stream_origin_query = [this](stream_origin_query const& query)
--- a/serving/entry/entry_node_streams.inl
+++ b/serving/entry/entry_node_streams.inl
@@ -6,11 +6,20 @@
 {
     auto const now = boot_now();
     stream_origins_.remember(origin, now);
+    open_streams_.add(origin);
     for (auto const host :
          choose_stream_replicas(fleet_.peers(), origin.stream, origin_replicas, now))
         fleet_.report_stream_origin(origin, host);
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::report_open_streams(host_id host)
+{
+    for (auto const& origin :
+         open_streams_.origins_for(host, fleet_.peers(), origin_replicas, boot_now()))
+        fleet_.report_stream_origin(origin, host);
+}
+
 template <entry_platform Platform>
 std::optional<std::string> entry_node<Platform>::find_stream(stream_id stream,
                                                              std::uint64_t number)
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -269,6 +269,8 @@
     // Origins of streams, and whether another host knows them
     std::map<stream_id, std::string> origins;
     bool origins_are_remote = false;
+    // Streams whose answers have ended
+    std::vector<stream_id> ended;
     std::optional<std::string> only_software_version;
     std::array<std::unique_ptr<scripted_server>, 2> servers;
     metrics_registry metrics;
@@ -308,6 +310,7 @@
         .report_rate_limit = [](rate_limit_notice const&) {},
         .remember_stream = [this](stream_origin const& origin)
         { origins[origin.stream] = origin.software_version; },
+        .forget_open_stream = [this](stream_id stream) { ended.push_back(stream); },
         .find_stream = [this](stream_id stream, std::uint64_t number)
         { return find_stream(stream, number); },
         .only_software_version = [this](service_id) { return only_software_version; },
@@ -447,6 +450,8 @@
     entry.set_software_version(0, "v1");
     entry.send_request(http::verb::post, "/resumable/x");
     BOOST_TEST(entry.origins.at(stream_id::of("9c41")) == "v1");
+    entry.run_until([&] { return entry.ended.size() == 1; });
+    BOOST_TEST((entry.ended.at(0) == stream_id::of("9c41")));
 }
 
 // Callers continue streams at a host that did not begin them
--- a/tests/unit/stream_origin/stream_origin_test.cpp
+++ b/tests/unit/stream_origin/stream_origin_test.cpp
@@ -1,4 +1,5 @@
 #include <marjorampath/peer/peer_table.hpp>
+#include <marjorampath/stream_origin/open_streams.hpp>
 #include <marjorampath/stream_origin/stream_origin_table.hpp>
 #include <marjorampath/stream_origin/stream_replicas.hpp>
 
@@ -102,4 +103,53 @@
         }
 }
 
+// All hosts but the one that serves a stream start again one after the other, while the
+// stream runs; then that one is lost
+BOOST_AUTO_TEST_CASE(a_restart_of_all_hosts_in_turn_loses_no_open_stream)
+{
+    constexpr std::uint32_t hosts = 9;
+    constexpr std::size_t replicas = 4;
+    constexpr std::size_t queries = 6;
+    auto const peers = view_of(0, hosts);
+    std::vector<stream_origin_table> tables(hosts, stream_origin_table({}));
+    open_streams open;
+    for (std::uint64_t number = 1; number <= 50; ++number)
+    {
+        stream_origin const origin{.stream =
+                                       stream_id::of(fmt::format("stream-{}", number)),
+                                   .software_version = "v1"};
+        open.add(origin);
+        for (std::uint32_t index = 1; index < hosts; ++index)
+        {
+            auto const chosen =
+                choose_stream_replicas(peers, origin.stream, replicas, now);
+            if (std::find(chosen.begin(), chosen.end(), host_of(index)) != chosen.end())
+                tables[index].remember(origin, now);
+        }
+    }
+    open.remove(stream_id::of("stream-50"));
+    for (std::uint32_t index = 1; index < hosts; ++index)
+    {
+        tables[index] = stream_origin_table({});
+        for (auto const& origin : open.origins_for(host_of(index), peers, replicas, now))
+            tables[index].remember(origin, now);
+    }
+
+    // Whether a host that a caller turns to learns the origin
+    auto const is_found = [&](std::string const& name)
+    {
+        auto const stream = stream_id::of(name);
+        auto const asked =
+            choose_stream_replicas(view_of(1, hosts, {0}), stream, queries, now);
+        auto found = tables[1].find(stream, now).has_value();
+        for (std::uint32_t index = 2; index < hosts; ++index)
+            if (std::find(asked.begin(), asked.end(), host_of(index)) != asked.end())
+                found = found || tables[index].find(stream, now).has_value();
+        return found;
+    };
+    for (std::uint64_t number = 1; number < 50; ++number)
+        BOOST_TEST(is_found(fmt::format("stream-{}", number)), "stream " << number);
+    BOOST_TEST(!is_found("stream-50"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
