Ask the other hosts for a stream's version before relying on the listing

Cause: a host whose listing showed one version took it for the only one and asked nobody. Change: the hosts that remember the stream are asked first; the listed versions count only where none remembers it, and only if the listing is at most 3 s old. software_history keeps the three fields that it needs in place of whole announcements. Result: what_a_host_remembers_of_a_stream_goes_before_the_listed_versions failed on the order before (the stream was sent to an endpoint of v1) and passes; 304 unit tests pass.

--- a/marjorampath/deployment/software_history.cpp
+++ b/marjorampath/deployment/software_history.cpp
@@ -16,7 +16,9 @@
     if (event.change == endpoint_change::gone)
         endpoints_.erase(announced.id);
     else
-        endpoints_[announced.id] = announced;
+        endpoints_[announced.id] = {.service = announced.service,
+                                    .software_version = announced.software_version,
+                                    .started_at_ms = announced.started_at_ms};
     std::erase_if(departed_, [&](auto const& entry)
                   { return now - entry.second > max_stream_age_; });
 }
--- a/marjorampath/deployment/software_history.hpp
+++ b/marjorampath/deployment/software_history.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/deployment/endpoint_catalog.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,11 +38,20 @@
     only_version(service_id service, time_point now, wall_milliseconds wall_now) const;
 
 private:
+    // What is kept of an endpoint's announcement
+    struct present_endpoint
+    {
+        service_id service;
+        std::string software_version;
+        // In wall-clock milliseconds
+        std::uint64_t started_at_ms = 0;
+    };
+
     duration max_stream_age_;
     // When the first endpoint was listed
     std::optional<time_point> known_since_;
     // Present endpoints
-    std::map<endpoint_id, endpoint_announcement> endpoints_;
+    std::map<endpoint_id, present_endpoint> endpoints_;
     // When the last endpoint with a version left, by service and version
     std::map<std::pair<service_id, std::string>, time_point> departed_;
 };
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -101,7 +101,7 @@
     /// in `origin_replies`.
     std::function<std::optional<std::string>(stream_id, std::uint64_t)> find_stream;
     /// The software version that began every stream of a service that can still be
-    /// continued; empty if there may be several.
+    /// continued; empty if there may be several, or if that is not known.
     std::function<std::optional<std::string>(service_id)> only_software_version;
     /// Number of hosts that share the retry budgets.
     std::function<std::size_t()> host_count;
--- a/serving/entry/entry_exchange_origin.inl
+++ b/serving/entry/entry_exchange_origin.inl
@@ -4,14 +4,16 @@
 template <entry_dialect Dialect>
 boost::asio::awaitable<void> entry_exchange<Dialect>::find_origin()
 {
+    // What a host remembers goes first: this host may not have listed a new version yet
     auto& required = request_.dispatch_call.software_version;
-    required = context_->only_software_version(request_.dispatch_call.service);
-    auto source = required ? "only_version" : "none";
-    if (!required && !request_.resumed_attempt.empty())
-    {
+    if (!request_.resumed_attempt.empty())
         required = co_await query_origin();
+    auto source = required ? "record" : "none";
+    if (!required)
+    {
+        required = context_->only_software_version(request_.dispatch_call.service);
         if (required)
-            source = "record";
+            source = "only_version";
     }
     log_event(event::stream_resumed, "request", request_.caller_attempt_id, "resumes",
               request_.resumed_attempt, "after_event", request_.last_event, "source",
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -61,6 +61,8 @@
     /// Added to the age of the listing of a peer in another zone, because traffic between
     /// zones is charged.
     duration other_zone_penalty = std::chrono::milliseconds(900);
+    /// Age of the listing up to which it shows all software versions that serve.
+    duration max_software_age = std::chrono::milliseconds(3'000);
     /// Interval of reading the report of an engine whose lease this host holds.
     duration report_interval = std::chrono::milliseconds(600);
     /// Interval of the periodic tasks.
@@ -208,6 +210,10 @@
     void report_open_streams(host_id host);
     // The software version that began a stream; asks other hosts if it is not known here
     std::optional<std::string> find_stream(stream_id stream, std::uint64_t number);
+    // The software version that began every stream of a service that can still be
+    // continued; empty if there may be several or the listing is old
+    [[nodiscard]] std::optional<std::string>
+    only_software_version(service_id service) const;
     // Answers another host's question for the origin of a stream
     stream_origin_reply on_stream_origin_query(stream_origin_query const& query);
     // Handles the reply to such a question of this host
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -79,7 +79,7 @@
             .find_stream = [this](stream_id stream, std::uint64_t number)
             { return find_stream(stream, number); },
             .only_software_version = [this](service_id service)
-            { return software_.only_version(service, boot_now(), wall_now()); },
+            { return only_software_version(service); },
             .host_count = [this] { return fleet_.peers().responsive_hosts(boot_now()); },
             .adapter_waiters = {},
             .status_waiters = {},
--- a/serving/entry/entry_node_streams.inl
+++ b/serving/entry/entry_node_streams.inl
@@ -34,6 +34,16 @@
     return std::nullopt;
 }
 
+template <entry_platform Platform>
+std::optional<std::string>
+entry_node<Platform>::only_software_version(service_id service) const
+{
+    auto const now = boot_now();
+    if (!catalog_.listed_at() || now - *catalog_.listed_at() > times_.max_software_age)
+        return std::nullopt;
+    return software_.only_version(service, now, wall_now());
+}
+
 template <entry_platform Platform>
 stream_origin_reply
 entry_node<Platform>::on_stream_origin_query(stream_origin_query const& query)
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -474,6 +474,21 @@
     }
 }
 
+// A host that has not listed a new version yet takes its own one for the only one
+BOOST_AUTO_TEST_CASE(what_a_host_remembers_of_a_stream_goes_before_the_listed_versions)
+{
+    entry_fixture entry({}, {{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}});
+    entry.set_software_version(0, "v1");
+    entry.set_software_version(1, "v2");
+    entry.only_software_version = "v1";
+    entry.origins[stream_id::of("first")] = "v2";
+    entry.origins_are_remote = true;
+    auto const answer = entry.send_request(
+        http::verb::post, "/resumable/x", {{"Last-Event-Id", "2"}, {"Resumes", "first"}});
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST(entry.servers[0]->requests.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_of_unknown_origin_is_refused_and_not_run)
 {
     entry_fixture entry({}, {});
