Let no child of a test inherit the test's sockets

Cause: the soak starts nodes and endpoints with posix_spawn, and its own sockets are not close-on-exec. A process that starts holds a copy of every connection of callers and proxies that is open at that moment, so closing or resetting one reaches the other side only when that process ends. Change: the spawn closes all descriptors from 3 on.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -80,6 +80,10 @@
                                        O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::posix_spawn_file_actions_adddup2(&actions, output < 0 ? STDERR_FILENO : output,
                                        STDOUT_FILENO);
+
+    // Sockets of this process are inherited unless they are closed here, and would stay
+    // open until the child ends
+    ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     if (::posix_spawn(&pid_, pointers[0], &actions, nullptr, pointers.data(), environ) !=
         0)
         pid_ = 0;
