--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -87,8 +87,8 @@
     /// requested status can be awaited.
     std::function<bool(endpoint_id, bool)> report_usage;
     /// Requests a permit for one request to an endpoint that limits its rate, under a
-    /// number of its own. Empty if another host was asked, whose
-    /// reply ends the wait in `permit_waiters`, unless a datagram is lost.
+    /// number of `permit_replies`. Empty if another host was asked, whose reply ends the
+    /// wait there, unless a datagram is lost.
     std::function<std::optional<permit_reply>(endpoint_id, std::uint64_t)> request_permit;
     /// Tells the host that issues an endpoint's permits what its answer said.
     std::function<void(rate_limit_notice const&)> report_rate_limit;
@@ -96,9 +96,9 @@
     std::function<void(stream_origin const&)> remember_stream;
     /// Forgets a stream of `remember_stream` whose answer has ended.
     std::function<void(stream_id)> forget_open_stream;
-    /// The software version that began a stream, under a number of its own. Empty if
-    /// other hosts were asked; the first reply of one that knows the stream ends the wait
-    /// in `origin_replies`.
+    /// The software version that began a stream, asked for under a number of
+    /// `origin_replies`. Empty if other hosts were asked; the first reply of one that
+    /// knows the stream ends the wait there.
     std::function<std::optional<std::string>(stream_id, std::uint64_t)> find_stream;
     /// The software version that began every stream of a service that can still be
     /// continued; empty if there may be several, or if that is not known.
