Log the content and the prompt parts of attempts that break off

Change: attempt_ended has the hash of the request, and the parts of its prompt but the last one if the answer broke off. Result: no decision reads them; the tests of the exchanges pass.

--- a/marjorampath/dispatch/call.hpp
+++ b/marjorampath/dispatch/call.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -58,4 +59,7 @@
 /// Key of a cached prompt part at an engine. Engines cache parts per model or adapter.
 std::uint64_t part_key(call const& request, prompt_part const& part);
 
+/// The parts of a prompt that other requests may have too: all but the last one.
+std::span<prompt_part const> shared_parts(call const& request);
+
 } // namespace marjorampath
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -15,7 +15,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -129,6 +132,10 @@
     // Forwards whole events, after the head if none was sent; false if the caller is gone
     boost::asio::awaitable<bool> forward_events(answer_reader const& reader,
                                                 std::string const& events);
+    // Logs an attempt that ended; one that broke off with what its request has in common
+    // with others
+    void log_attempt(endpoint_announcement const& endpoint, attempt_end end,
+                     std::optional<double> limit) const;
     // The end of an attempt whose connection failed: `cancelled` or `timed_out` if that
     // is what closed it, else `end`
     [[nodiscard]] attempt_end end_after_failure(attempt_end end) const;
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -176,15 +176,29 @@
     else
         context_->suspects.on_end(attempt_id, end == attempt_end::finished);
     context_->metrics.count(attempts_metric, "end", to_string(end));
-    log_event(event::attempt_ended, "request", request_.caller_attempt_id, "endpoint",
-              endpoint.name, "software", endpoint.software_version, "end",
-              to_string(end), "begun", answer_started_, "events",
-              events_.event_count(), "longest_pause_ms", longest_pause_.count() / 1'000'000,
-              "after_ms", (now - begin_).count() / 1'000'000, "limit",
-              limit.value_or(no_rate_limit));
+    log_attempt(endpoint, end, limit);
     co_await on_end(endpoint, end);
 }
 
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::log_attempt(endpoint_announcement const& endpoint,
+                                          attempt_end end,
+                                          std::optional<double> limit) const
+{
+    std::string parts;
+    if (end == attempt_end::lost || end == attempt_end::invalid_answer)
+        for (auto const& part : shared_parts(request_.dispatch_call))
+            fmt::format_to(std::back_inserter(parts), "{}{:x}", parts.empty() ? "" : ",",
+                           part.id);
+    log_event(event::attempt_ended, "request", request_.caller_attempt_id, "endpoint",
+              endpoint.name, "software", endpoint.software_version, "end", to_string(end),
+              "begun", answer_started_, "events", events_.event_count(),
+              "longest_pause_ms", longest_pause_.count() / 1'000'000, "after_ms",
+              (boot_now() - begin_).count() / 1'000'000, "limit",
+              limit.value_or(no_rate_limit), "content",
+              request_.dispatch_call.fingerprint, "parts", parts);
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<bool>
 entry_exchange<Dialect>::connect(directory_entry const& endpoint)
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -178,7 +178,8 @@
         "An attempt to run a request at an endpoint ended; `end` says how. `software` "
         "is the version of the endpoint's software. `limit` is "
         "the endpoint's limit on its request rate when the attempt began, -1 for "
-        "none."},
+        "none. `content` is the hash of the request; `parts` are the parts of its prompt "
+        "but the last one, if the answer broke off."},
     event_entry{request_answered, info, "request_answered",
                 "The endpoint's answer was delivered to the caller."},
     event_entry{request_rejected, info, "request_rejected",
