--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -64,4 +64,18 @@
     }
 }
 
+// Requests with one part in their prompts crashed one engine after the other, as no two
+// of them were alike
+BOOST_AUTO_TEST_CASE(requests_with_a_part_that_crashes_engines_are_refused)
+{
+    auto const folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+    constexpr unsigned seed = 6001;
+    auto const command = fmt::format("{} --seed {} --seconds 12 --limits 0 --gap 4000 "
+                                     "--crashing-callers 2",
+                                     (folder / "marjorampath-soak").string(), seed);
+    auto const status = std::system(command.c_str());
+    BOOST_TEST(WIFEXITED(status), "seed " << seed);
+    BOOST_TEST(WEXITSTATUS(status) == 0, "seed " << seed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/limit_check.cpp
+++ b/tests/soak/limit_check.cpp
@@ -93,24 +93,10 @@
         auto& period = found->second;
         auto const told = period.told.emplace(each.node, each.at_ms).first->second;
         if (each.at_ms >= period.from_ms + contact_ms && each.at_ms >= told + notice_ms &&
-            !is_disrupted(endpoint, each))
+            !is_disrupted(evidence_, each.node, endpoint, each.at_ms, contact_ms))
             period.counted.push_back(each);
     }
 
-    [[nodiscard]] bool is_disrupted(std::string const& endpoint,
-                                    arrival const& each) const
-    {
-        return std::any_of(evidence_.disruptions.begin(), evidence_.disruptions.end(),
-                           [&](auto const& disrupted)
-                           {
-                               return disrupted.node == each.node &&
-                                      (disrupted.endpoint.empty() ||
-                                       disrupted.endpoint == endpoint) &&
-                                      each.at_ms >= disrupted.from_ms &&
-                                      each.at_ms <= disrupted.to_ms + contact_ms;
-                           });
-    }
-
     // Reports the window with the most requests if they are too many
     void check(std::string const& endpoint, limit_period const& period)
     {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -66,6 +66,9 @@
                                          "number", command);
     TCLAP::ValueArg<int> limits("", "limits", "Endpoints that limit their request rate",
                                 false, 1, "number", command);
+    TCLAP::ValueArg<std::size_t> crashing_callers("", "crashing-callers",
+                                                  "Callers whose requests crash engines",
+                                                  false, 0, "number", command);
     TCLAP::ValueArg<int> gap("", "gap", "Mean time between faults", false, 400,
                              "milliseconds", command);
     TCLAP::SwitchArg keep("", "keep", "Keep logs and records of passed seeds too",
@@ -83,7 +86,8 @@
                          .mean_gap = std::chrono::milliseconds(gap.getValue()),
                          .limits = limits.getValue()},
             .fleet = {.nodes = nodes.getValue(), .engines = engines.getValue()},
-            .callers = callers.getValue()};
+            .callers = callers.getValue(),
+            .crashing_callers = crashing_callers.getValue()};
         kept = run_seed(options, keep.getValue()) && kept;
     }
     return kept ? 0 : 1;
--- a/tests/soak/soak_check.cpp
+++ b/tests/soak/soak_check.cpp
@@ -175,6 +175,19 @@
 
 } // namespace
 
+bool is_disrupted(soak_evidence const& evidence, std::size_t node,
+                  std::string const& endpoint, std::int64_t at_ms, std::int64_t slack_ms)
+{
+    return std::any_of(
+        evidence.disruptions.begin(), evidence.disruptions.end(),
+        [&](auto const& disrupted)
+        {
+            return disrupted.node == node &&
+                   (disrupted.endpoint.empty() || disrupted.endpoint == endpoint) &&
+                   at_ms >= disrupted.from_ms && at_ms <= disrupted.to_ms + slack_ms;
+        });
+}
+
 std::vector<std::string> check_promises(soak_evidence const& evidence)
 {
     return checker(evidence).check();
--- a/tests/soak/soak_check.hpp
+++ b/tests/soak/soak_check.hpp
@@ -56,6 +56,11 @@
     std::vector<announced_leave> leaves;
 };
 
+/// Whether faults disrupted a node, or its link to an endpoint, within `slack_ms` before
+/// a time.
+bool is_disrupted(soak_evidence const& evidence, std::size_t node,
+                  std::string const& endpoint, std::int64_t at_ms, std::int64_t slack_ms);
+
 /// Returns every breach of a promise, one line each.
 std::vector<std::string> check_promises(soak_evidence const& evidence);
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -130,6 +130,8 @@
                                        (options_.folder / (name + ".records")).string()};
     if (endpoint.engine)
         arguments.insert(arguments.end(), {"--model", deployment.model_service});
+    if (endpoint.engine && !options_.crashing_part.empty())
+        arguments.insert(arguments.end(), {"--crashing-part", options_.crashing_part});
     endpoint.process = std::make_unique<child_process>(
         "marjorampath-standin", arguments, (options_.folder / (name + ".log")).string());
     endpoint.link->set_target(endpoint.process->address());
@@ -146,6 +148,18 @@
         (options_.folder / fmt::format("node-{}.log", index)).string(), callers_[index]);
 }
 
+std::vector<std::size_t> soak_fleet::crashed_endpoints()
+{
+    std::vector<std::size_t> found;
+    for (std::size_t index = 0; index < endpoints.size(); ++index)
+    {
+        auto& process = *endpoints[index].process;
+        if (process.running() && process.wait(std::chrono::milliseconds(0)))
+            found.push_back(index);
+    }
+    return found;
+}
+
 void soak_fleet::drain_endpoint(std::size_t index)
 {
     call(endpoints[index].process->address(), "POST", "/standin/set",
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -32,6 +32,8 @@
         std::size_t engines = 4;
         /// Number of plain services.
         std::size_t services = 2;
+        /// Part of a prompt that crashes engines; empty for none.
+        std::string crashing_part;
         /// Folder for settings, logs and records.
         std::filesystem::path folder;
     };
@@ -65,6 +67,9 @@
     void start_endpoint(std::size_t index);
     /// Starts a new process for a node, with the same settings.
     void start_node(std::size_t index);
+    /// Returns the endpoints whose processes have ended by themselves since the last
+    /// call.
+    std::vector<std::size_t> crashed_endpoints();
     /// Makes an endpoint announce that it leaves.
     void drain_endpoint(std::size_t index);
     /// Makes an endpoint name a limit on its request rate, or none any more.
--- a/tests/soak/soak_request.hpp
+++ b/tests/soak/soak_request.hpp
@@ -33,6 +33,8 @@
     /// Attempt that received the first event of the stream; its own identifier unless it
     /// continues the stream of an earlier attempt.
     std::string stream;
+    /// Whether its prompt has the part that crashes engines.
+    bool crashes_engines = false;
     /// Last event that the caller had when it sent the request; zero for none.
     std::uint64_t after_event = 0;
     /// Last whole event of its answer; `after_event` if it got none.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,5 +1,6 @@
 #include <tests/soak/limit_check.hpp>
 #include <tests/soak/monotonic_time.hpp>
+#include <tests/soak/part_check.hpp>
 #include <tests/soak/soak_run.hpp>
 
 #include <fmt/format.h>
@@ -24,11 +25,23 @@
 constexpr auto shutdown_timeout = 8s + 500ms;
 // Delay before a process that ended is replaced or restarted
 constexpr auto restart_delay = 300ms;
+// Time for which an engine that crashed by itself is away
+constexpr auto crash_downtime = 1500ms;
+// Part of a prompt that crashes engines
+constexpr char const* crashing_part = "bad";
 // Time from the announcement that an endpoint leaves to the end of its process
 constexpr auto drain_time = 5s;
 // Step of the loop that waits for due actions and stopping nodes
 constexpr auto poll_interval = 10ms;
 
+soak_fleet::options with_crashing_part(soak_options const& options)
+{
+    auto values = options.fleet;
+    if (options.crashing_callers > 0)
+        values.crashing_part = crashing_part;
+    return values;
+}
+
 std::vector<boost::asio::ip::tcp::endpoint> caller_addresses(soak_fleet const& fleet)
 {
     std::vector<boost::asio::ip::tcp::endpoint> addresses;
@@ -41,11 +54,13 @@
 
 soak_run::soak_run(soak_options const& options)
     : options_(options), work_(context_.get_executor()),
-      thread_([this] { context_.run(); }), fleet_(context_, options_.fleet),
+      thread_([this] { context_.run(); }), fleet_(context_, with_crashing_part(options_)),
       traffic_(context_, {.nodes = caller_addresses(fleet_),
                           .host = platform::standin_deployment().host,
                           .model = platform::standin_deployment().model_service,
                           .callers = options_.callers,
+                          .crashing_callers = options_.crashing_callers,
+                          .crashing_part = crashing_part,
                           .seed = options_.schedule.seed})
 {
 }
@@ -94,6 +109,8 @@
         breaches_.push_back(std::move(breach));
     for (auto& breach : check_limits(evidence_))
         breaches_.push_back(std::move(breach));
+    for (auto& breach : check_crashing_part(evidence_))
+        breaches_.push_back(std::move(breach));
     return breaches_;
 }
 
@@ -135,6 +152,7 @@
             action();
         }
         poll_stopping_nodes();
+        restart_crashed_endpoints();
         sleep_poll_interval();
     }
 }
@@ -334,6 +352,20 @@
     }
 }
 
+void soak_run::restart_crashed_endpoints()
+{
+    for (auto const index : fleet_.crashed_endpoints())
+    {
+        auto const generation = ++fleet_.endpoints[index].generation;
+        schedule_after(crash_downtime,
+                       [this, index, generation]
+                       {
+                           if (fleet_.endpoints[index].generation == generation)
+                               fleet_.start_endpoint(index);
+                       });
+    }
+}
+
 void soak_run::check_recovery()
 {
     for (auto const kind : {soak_kind::stream, soak_kind::safe, soak_kind::unsafe})
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -28,6 +28,8 @@
     soak_fleet::options fleet;
     /// Number of callers of each node.
     std::size_t callers = 4;
+    /// Number of callers whose requests crash engines.
+    std::size_t crashing_callers = 0;
 };
 
 /// One soak: runs a fleet under traffic through a schedule of faults, its recovery and
@@ -78,6 +80,8 @@
     // Restarts the nodes in `stopping_` that have exited; reports those that exit late or
     // with an error
     void poll_stopping_nodes();
+    // Restarts the endpoints that have ended by themselves, some time later
+    void restart_crashed_endpoints();
     // Checks that each node serves each kind of request again in time
     void check_recovery();
     // Stops all nodes under traffic and checks their exit statuses
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -14,6 +14,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <functional>
 #include <platform/standin/operator_documents.hpp>
 #include <platform/wire_names.hpp>
 
@@ -41,6 +42,11 @@
 // Bounds of the pause between two requests of a caller
 constexpr int min_pause_ms = 5;
 constexpr int max_pause_ms = 60;
+// Bounds of the pause between two requests that crash engines
+constexpr int min_crash_pause_ms = 100;
+constexpr int max_crash_pause_ms = 500;
+// Parts of prompts that requests share besides the first one
+constexpr std::size_t shared_part_count = 3;
 
 beast::string_view to_beast(std::string_view name)
 {
@@ -63,6 +69,11 @@
             ++running_;
             asio::co_spawn(context_, run_caller(node, ++seed), asio::detached);
         }
+    for (std::size_t caller = 0; caller < options_.crashing_callers; ++caller)
+    {
+        ++running_;
+        asio::co_spawn(context_, run_crashing_caller(++seed), asio::detached);
+    }
 }
 
 std::vector<soak_request> soak_traffic::requests() const
@@ -94,6 +105,14 @@
             .last_event = broken.last_event};
 }
 
+std::string soak_traffic::prompt_parts(soak_request const& request) const
+{
+    auto const own = std::hash<std::string>{}(request.attempt);
+    return fmt::format("1:50,{:x}:20,{}{:x}:30", own % shared_part_count + 2,
+                       request.crashes_engines ? options_.crashing_part + ":10," : "",
+                       own);
+}
+
 soak_traffic::message soak_traffic::make_message(soak_request const& request) const
 {
     platform::standin_deployment const deployment;
@@ -110,7 +129,7 @@
     {
         result.set(to_beast(wire::model), options_.model + '/' + request.adapter);
         result.set(to_beast(wire::token_count), fmt::format("100,{}", stream_events));
-        result.set(to_beast(wire::prompt_parts), "1:50,2:50");
+        result.set(to_beast(wire::prompt_parts), prompt_parts(request));
         if (request.after_event != 0)
         {
             result.set(to_beast(wire::last_event), fmt::to_string(request.after_event));
@@ -216,6 +235,27 @@
     --running_;
 }
 
+asio::awaitable<void> soak_traffic::run_crashing_caller(std::uint32_t seed)
+{
+    random_engine random(seed);
+    boost::random::uniform_int_distribution<std::size_t> pick_node(
+        0, options_.nodes.size() - 1);
+    boost::random::uniform_int_distribution<int> pick_pause(min_crash_pause_ms,
+                                                            max_crash_pause_ms);
+    asio::steady_timer timer(context_);
+    while (!stopped_)
+    {
+        auto request = choose_request(pick_node(random), soak_kind::stream, random);
+        request.crashes_engines = true;
+        std::optional<stream_type> stream;
+        co_await exchange(stream, request);
+        add(request);
+        timer.expires_after(std::chrono::milliseconds(pick_pause(random)));
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    --running_;
+}
+
 void soak_traffic::add(soak_request const& request)
 {
     std::lock_guard const lock(mutex_);
--- a/tests/soak/soak_traffic.hpp
+++ b/tests/soak/soak_traffic.hpp
@@ -37,6 +37,11 @@
         std::size_t adapters = 12;
         /// Number of callers of each node.
         std::size_t callers = 4;
+        /// Number of callers whose requests have the part that crashes engines, over all
+        /// nodes.
+        std::size_t crashing_callers = 0;
+        /// That part.
+        std::string crashing_part;
         /// Seed of the callers' random choices.
         std::uint32_t seed = 1;
     };
@@ -72,6 +77,8 @@
     using message = boost::beast::http::request<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> run_caller(std::size_t node, std::uint32_t seed);
+    // Sends requests that crash engines, each to another node
+    boost::asio::awaitable<void> run_crashing_caller(std::uint32_t seed);
     boost::asio::awaitable<void> exchange(std::optional<stream_type>& stream,
                                           soak_request& request);
     soak_request choose_request(std::size_t node, soak_kind kind, random_engine& random);
@@ -81,6 +88,8 @@
     void add(soak_request const& request);
     // Reads the whole events of an answer in order
     static void read_events(soak_request& request, std::string const& body);
+    // The parts of a request's prompt; no two requests have all of them in common
+    [[nodiscard]] std::string prompt_parts(soak_request const& request) const;
     [[nodiscard]] message make_message(soak_request const& request) const;
     [[nodiscard]] static bool is_correct(soak_request const& request,
                                          std::string const& body);
