Identify a crash by the process that has ended

Cause: hosts that saw an endpoint's entry lapse named its crash by the start of the process that had ended, hosts that saw its restart by the start of the new one. One crash counted as two where hosts of both kinds met, and a content that was in flight there once was convicted: its callers were refused for an hour. Change: the change of an endpoint tells when the process that has ended was started.

--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -32,8 +32,10 @@
                   {
                       if (listed.contains(known.first))
                           return false;
+                      auto const started_at_ms = known.second.started_at_ms;
                       events.push_back({.change = endpoint_change::gone,
-                                        .endpoint = std::move(known.second)});
+                                        .endpoint = std::move(known.second),
+                                        .ended_process_started_at_ms = started_at_ms});
                       return true;
                   });
     return events;
@@ -63,8 +65,11 @@
         change = endpoint_change::restarted;
     else if (entry.draining && !known.draining)
         change = endpoint_change::draining;
+    auto const started_at_ms = restarted ? known.started_at_ms : 0;
     known = std::move(entry);
-    events.push_back({.change = change, .endpoint = known});
+    events.push_back({.change = change,
+                      .endpoint = known,
+                      .ended_process_started_at_ms = started_at_ms});
 }
 
 endpoint_announcement const* endpoint_catalog::find(endpoint_id id) const
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -31,6 +31,8 @@
     endpoint_change change = endpoint_change::updated;
     /// Its announcement; for `gone`, the last known one.
     endpoint_announcement endpoint;
+    /// Start time of the process that has ended, for `restarted` and `gone`.
+    std::uint64_t ended_process_started_at_ms = 0;
 };
 
 /// The known endpoints, built from listings of service discovery.
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -152,7 +152,7 @@
         if (change.change == endpoint_change::restarted ||
             (change.change == endpoint_change::gone && !endpoint.draining))
             for (auto const content : context_.suspects.on_crash(
-                     now, wall_now(), endpoint.id, endpoint.started_at_ms))
+                     now, wall_now(), endpoint.id, change.ended_process_started_at_ms))
                 log_event(event::request_suspected, "content", content, "endpoint",
                           endpoint.name);
         if (change.change == endpoint_change::restarted ||
--- a/tests/unit/deployment/deployment_test.cpp
+++ b/tests/unit/deployment/deployment_test.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(!catalog.find(endpoint_id::of("e"))->draining);
 }
 
+// Hosts that saw the restart and hosts that saw the entry lapse counted two crashes
+BOOST_AUTO_TEST_CASE(a_restart_and_a_lapsed_entry_name_the_same_ended_process)
+{
+    endpoint_catalog restarted({});
+    restarted.apply_listing(at(0s), 10, {announce("e", 10, 1)});
+    auto const restart = restarted.apply_listing(at(500ms), 11, {announce("e", 11, 2)});
+    endpoint_catalog lapsed({});
+    lapsed.apply_listing(at(0s), 10, {announce("e", 10, 1)});
+    auto const lapse = lapsed.apply_listing(at(500ms), 11, {});
+    BOOST_REQUIRE(restart.size() == 1U);
+    BOOST_REQUIRE(lapse.size() == 1U);
+    BOOST_TEST(restart[0].ended_process_started_at_ms == 1U);
+    BOOST_TEST(lapse[0].ended_process_started_at_ms == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(missing_entries_are_kept_for_a_grace_period_after_an_outage)
 {
     endpoint_catalog catalog({});
