Log which services a host cannot reach

Cause: the logs of the cut host incident tell that requests were refused, but not whether the host reached no endpoint at all or only not those that it tried. Change: reach_monitor raises a doubt behind failures, or silence of all endpoints of a service, and probes of three endpoints over new connections decide; service_unreachable and service_reachable tell the result. The setting `outgoing` binds connections to endpoints to one of the host's addresses. A probe costs up to three connections, at most once a second while the service is reached.

--- a/serving/endpoint/connection_pool.cpp
+++ b/serving/endpoint/connection_pool.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -58,7 +59,19 @@
 
 endpoint_connection connection_pool::make_socket() const
 {
-    return std::make_shared<tcp::socket>(executor_);
+    auto connection = std::make_shared<tcp::socket>(executor_);
+    if (!options_.source)
+        return connection;
+
+    // An address that cannot be used shows when the socket connects. The port is chosen
+    // then too, so that connections to different endpoints can share one
+    boost::system::error_code ignored;
+    int const enabled = 1;
+    connection->open(tcp::v4(), ignored);
+    ::setsockopt(connection->native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT,
+                 &enabled, sizeof(enabled));
+    connection->bind({*options_.source, 0}, ignored);
+    return connection;
 }
 
 asio::awaitable<boost::system::error_code>
--- a/serving/endpoint/connection_pool.hpp
+++ b/serving/endpoint/connection_pool.hpp
@@ -24,6 +24,8 @@
     std::size_t max_idle = 1'024;
     /// Time after which an idle connection is no longer used.
     duration max_idle_time = std::chrono::seconds(20);
+    /// Source address of new connections; chosen by the system if empty.
+    std::optional<boost::asio::ip::address_v4> source;
 };
 
 /// A connection to an endpoint. Shared so that it can be closed at a deadline, or when
--- a/serving/endpoint/http_fetch.hpp
+++ b/serving/endpoint/http_fetch.hpp
@@ -20,6 +20,8 @@
     duration timeout = std::chrono::seconds(5);
     /// Maximum size of the answer's body, in bytes.
     std::size_t max_body_bytes = 4'000'000;
+    /// Whether idle connections of a pool are not used.
+    bool new_connection = false;
 };
 
 /// The answer, or the error that prevented it.
--- a/serving/endpoint/pooled_fetch.cpp
+++ b/serving/endpoint/pooled_fetch.cpp
@@ -56,7 +56,7 @@
 
     // At the timeout, closing the connection cancels the connect, write or read in
     // progress
-    auto connection = pool.take_idle(endpoint);
+    auto connection = options.new_connection ? nullptr : pool.take_idle(endpoint);
     auto const is_pooled = connection != nullptr;
     if (!is_pooled)
         connection = pool.make_socket();
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
 #include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
+#include <marjorampath/reachability/reach_monitor.hpp>
 #include <marjorampath/stream_origin/stream_origin.hpp>
 #include <marjorampath/stream_origin/stream_origin_messages.hpp>
 #include <marjorampath/suspect/part_suspect_registry.hpp>
@@ -82,6 +83,8 @@
     part_suspect_registry parts;
     /// Request rates that endpoints have limited.
     rate_limit_coordinator rate_limits;
+    /// Services whose endpoints this host can reach.
+    reach_monitor reach;
     /// Attempts whose connection broke and that may have crashed their endpoint.
     lost_attempts lost;
     /// Counters and latencies.
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -90,6 +90,8 @@
     // Refuses the request if its content or a part of its prompt crashed endpoints; true
     // if it did
     boost::asio::awaitable<bool> refuse_convicted();
+    // Notes what the end of an attempt tells about the path to the service's endpoints
+    void note_reach(attempt_end end);
     // Notes what the end of an attempt tells about the parts of the prompt
     void note_parts(endpoint_announcement const& endpoint, attempt_end end);
     // Waits for the adapter until the decision should be made again
@@ -205,6 +207,8 @@
     std::vector<endpoint_id> excluded_endpoints_;
     // Splits the stream into events, over all attempts
     event_splitter events_{{}};
+    // Whether the current attempt received any byte
+    bool endpoint_answered_ = false;
     // Whether the current attempt received the first bytes of its answer
     bool answer_started_ = false;
     // Whether the head was sent to the caller
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -100,6 +100,15 @@
     co_return true;
 }
 
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::note_reach(attempt_end end)
+{
+    auto const failed = end == attempt_end::unreachable || end == attempt_end::lost ||
+                        end == attempt_end::timed_out;
+    if (failed && !endpoint_answered_)
+        context_->reach.on_failed(request_.dispatch_call.service, boot_now());
+}
+
 template <entry_dialect Dialect>
 void entry_exchange<Dialect>::note_parts(endpoint_announcement const& endpoint,
                                          attempt_end end)
@@ -186,6 +195,7 @@
 
     answer_started_ = false;
     answer_framed_ = false;
+    endpoint_answered_ = false;
     attempt_after_event_ = events_.last_id().value_or(0);
     longest_pause_ = {};
     timeout_ = nullptr;
@@ -213,6 +223,7 @@
     context_->dispatch.on_ended(request_.dispatch_call, endpoint.id, end, answer_started_,
                                 now);
     report_current_usage();
+    note_reach(end);
     note_parts(endpoint, end);
     if (end == attempt_end::lost)
         context_->lost.add(attempt_id, now);
@@ -332,6 +343,7 @@
             std::chrono::duration_cast<duration>(
                 dispatch_call.objective * context_->times.attempt_timeout_fraction)));
     sent_at_ = boot_now();
+    context_->reach.on_sent(dispatch_call.service, sent_at_);
     error_code error;
     co_await boost::beast::http::async_write(
         *connection_, sent,
@@ -352,7 +364,11 @@
         answer_reader reader(connection_, std::move(early));
         if (message_->method() == boost::beast::http::verb::head)
             reader.expect_no_body();
-        if (co_await reader.read_head())
+        auto const broken = co_await reader.read_head();
+        endpoint_answered_ = endpoint_answered_ || reader.got_some();
+        if (endpoint_answered_)
+            context_->reach.on_answer(request_.dispatch_call.service);
+        if (broken)
             co_return end_after_failure(reader.got_some() ? attempt_end::invalid_answer
                                                           : attempt_end::lost);
 
@@ -468,6 +484,7 @@
                                         std::string const& events)
 {
     auto const now = boot_now();
+    context_->reach.on_answer(request_.dispatch_call.service);
     if (answer_started_)
         longest_pause_ = std::max(longest_pause_, now - last_events_at_);
     last_events_at_ = now;
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -28,11 +28,14 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -65,6 +68,8 @@
     duration max_software_age = std::chrono::milliseconds(3'000);
     /// Interval of reading the report of an engine whose lease this host holds.
     duration report_interval = std::chrono::milliseconds(600);
+    /// Time within which a probed endpoint must answer: many round trips to another zone.
+    duration reach_timeout = std::chrono::milliseconds(300);
     /// Interval of the periodic tasks.
     duration periodic_interval = std::chrono::milliseconds(100);
     /// Time for which new callers are accepted after the signal to stop: two readiness
@@ -108,6 +113,8 @@
     // Other hosts that remember the origin of a stream. All may be lost at once, and then
     // it is unknown
     static constexpr std::size_t origin_replicas = 4;
+    // Endpoints of a service that are probed at once
+    static constexpr std::size_t probed_endpoints = 3;
     // Other hosts that are asked for it: more, as others may have been alive when the
     // stream began
     static constexpr std::size_t origin_queries = 6;
@@ -115,6 +122,16 @@
     using engine_client = typename Platform::engine_client;
     using view_source = typename Platform::view_source;
 
+    // Probes of some endpoints of one service
+    struct service_probe
+    {
+        service_id service;
+        // Endpoints that have not answered yet
+        std::size_t pending = 0;
+        // Whether the result is known
+        bool decided = false;
+    };
+
     // Contents of the store that a peer relayed
     struct relayed_contents
     {
@@ -171,6 +188,12 @@
     void suspect_parts(std::string const& endpoint, std::uint64_t crash);
     // Logs the parts that have been convicted
     void log_part_convictions();
+    // Finds out whether any of a few endpoints of a service answers on a new connection
+    void probe_service(service_id service);
+    boost::asio::awaitable<void> probe_for_service(endpoint_announcement endpoint,
+                                                   std::shared_ptr<service_probe> round);
+    // Logs whether this host reaches a service
+    void log_reachability(service_id service, bool reached);
     // Reads the reports of the engines whose leases this host holds
     void read_reports();
     boost::asio::awaitable<void> read_report(endpoint_announcement engine);
@@ -310,6 +333,8 @@
     bool store_reachable_ = true;
     // Result of the last readiness probe
     bool was_ready_ = false;
+    // Chooses the endpoints that are probed
+    std::minstd_rand probe_random_;
     // Whether the node is shutting down
     bool stopping_ = false;
     // Whether the node has ended
@@ -321,5 +346,6 @@
 #include <serving/entry/entry_node.inl>
 #include <serving/entry/entry_node_crashes.inl>
 #include <serving/entry/entry_node_limits.inl>
+#include <serving/entry/entry_node_reach.inl>
 #include <serving/entry/entry_node_streams.inl>
 #include <serving/entry/entry_node_view.inl>
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -15,7 +15,7 @@
       callers_(context_.callers), readiness_(service_context_), relay_(service_context_),
       metrics_listener_(service_context_),
       source_(loop_.get_executor(), {.server = settings_.store}),
-      order_connections_(loop_.get_executor(), {}),
+      order_connections_(loop_.get_executor(), {.source = settings_.outgoing}),
       engines_(order_connections_, settings_.host), catalog_({}),
       planner_(
           {.takeover_delay = settings_.order_quiet + std::chrono::milliseconds(100)}),
@@ -52,11 +52,13 @@
             .routes = nullptr,
             .dispatch = dispatcher(zone_id::of(settings_.zone), {.seed = seed}),
             .connections =
-                connection_pool(loop_.get_executor(), {.max_idle = connections / 2}),
+                connection_pool(loop_.get_executor(), {.max_idle = connections / 2,
+                                                       .source = settings_.outgoing}),
             .budgets = {},
             .suspects = suspect_registry({}),
             .parts = part_suspect_registry({}),
             .rate_limits = rate_limit_coordinator(host_id::of(settings_.host), {}),
+            .reach = reach_monitor({}),
             .lost = {},
             .metrics = {metrics_.make_shard()},
             .request_load =
@@ -292,6 +294,8 @@
     auto const now = boot_now();
     context_.lost.expire(context_.suspects, now);
     context_.parts.forget_old(now);
+    for (auto const service : context_.reach.due_probes(now))
+        probe_service(service);
     if (now >= next_reports_at_)
     {
         next_reports_at_ = now + times_.report_interval;
--- a/serving/entry/entry_platform.hpp
+++ b/serving/entry/entry_platform.hpp
@@ -17,7 +17,8 @@
 template <class Client>
 concept entry_engine_client =
     std::constructible_from<Client, connection_pool&, std::string> &&
-    requires(Client& client, endpoint_announcement engine, planned_order order)
+    requires(Client& client, endpoint_announcement engine, planned_order order,
+             duration timeout)
 {
     {
         client.send_order(engine, order)
@@ -25,6 +26,10 @@
     {
         client.read_report(engine)
         } -> std::same_as<boost::asio::awaitable<std::optional<engine_report>>>;
+    // Whether an endpoint, also of a plain service, answers on a new connection
+    {
+        client.reaches(engine, timeout)
+        } -> std::same_as<boost::asio::awaitable<bool>>;
 };
 
 /// The platform-specific parts of an entry node.
--- a/serving/entry/entry_settings.cpp
+++ b/serving/entry/entry_settings.cpp
@@ -108,6 +108,16 @@
     return problem;
 }
 
+std::string parse_outgoing(YAML::Node const& node, entry_settings& settings)
+{
+    boost::system::error_code error;
+    auto const address = boost::asio::ip::make_address_v4(node.as<std::string>(), error);
+    if (error)
+        return "is not an IPv4 address";
+    settings.outgoing = address;
+    return {};
+}
+
 std::string parse_seeds(YAML::Node const& node, entry_settings& settings)
 {
     if (!node.IsSequence())
@@ -136,6 +146,7 @@
         {"readiness_path", text_field(&settings::readiness_path)},
         {"relay", address_field(&settings::relay)},
         {"metrics", {false, parse_metrics}},
+        {"outgoing", {false, parse_outgoing}},
         {"peers", {true, parse_peers}},
         {"seeds", {true, parse_seeds}},
         {"store", address_field(&settings::store)},
--- a/serving/entry/entry_settings.hpp
+++ b/serving/entry/entry_settings.hpp
@@ -32,6 +32,9 @@
     boost::asio::ip::tcp::endpoint relay;
     /// Address on which metrics are read; without one they are not served.
     std::optional<boost::asio::ip::tcp::endpoint> metrics;
+    /// Source address of connections to endpoints, for hosts that have several; chosen by
+    /// the system if empty.
+    std::optional<boost::asio::ip::address_v4> outgoing;
     /// Address on which other hosts send datagrams.
     peer_address peers;
     /// Relay addresses of the hosts to contact first.
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -138,6 +138,8 @@
     event_entry{endpoint_probed, info, "endpoint_probed",
                 "An endpoint was asked for its state because an answer broke off there. "
                 "With `alive` false its process has ended or cannot be reached."},
+    event_entry{service_unreachable, warning, "service_unreachable",
+                "No probed endpoint of a service answers this host on a new connection."},
     event_entry{adapter_loaded, info, "adapter_loaded", "An engine loaded an adapter."},
     event_entry{adapter_unloaded, info, "adapter_unloaded",
                 "An engine unloaded an adapter."},
@@ -150,6 +152,8 @@
                 "An engine holds an adapter that no sheet assigns and no host ordered."},
     event_entry{endpoint_appeared, info, "endpoint_appeared",
                 "An endpoint announced itself."},
+    event_entry{service_reachable, info, "service_reachable",
+                "An endpoint of a service answers this host again."},
     event_entry{load_asked, info, "load_asked",
                 "The lease holder of an engine was sent a load request for an adapter."},
     event_entry{
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -308,6 +308,7 @@
         .suspects = suspect_registry({}),
         .parts = part_suspect_registry({}),
         .rate_limits = rate_limit_coordinator(host_id::of("h"), {}),
+        .reach = reach_monitor({}),
         .lost = {},
         .metrics = {metrics.make_shard()},
         .request_load = [](proposed_load const&) {},
--- a/tests/unit/entry/entry_settings_test.cpp
+++ b/tests/unit/entry/entry_settings_test.cpp
@@ -17,6 +17,7 @@
 readiness_path: "/ready"
 relay: "127.0.0.1:8144"
 peers: "127.0.0.1:7380"
+outgoing: "127.0.0.1"
 seeds: ["127.0.0.1:8144","127.0.0.2:8144"]
 store: "127.0.0.1:8142"
 order_quiet_ms: 3000
@@ -42,6 +43,7 @@
     BOOST_TEST(settings.host == "edge-1");
     BOOST_TEST(settings.seeds.size() == 2u);
     BOOST_TEST(settings.peers.port == 7380);
+    BOOST_TEST(settings.outgoing->is_loopback());
     BOOST_TEST((settings.order_quiet == 3s));
     BOOST_TEST((settings.grace == 8s));
 }
@@ -49,14 +51,14 @@
 BOOST_AUTO_TEST_CASE(every_problem_is_reported_with_its_line)
 {
     auto const problems =
-        problems_of("host: \"\"\nzoen: z\ncallers: here\ngrace_s: -1\n");
+        problems_of("host: \"\"\nzoen: z\ncallers: here\ngrace_s: -1\noutgoing: x\n");
     std::string all;
     for (auto const& problem : problems)
         all += problem.to_string() + "\n";
     for (auto const* expected :
          {"f:1: host: is empty", "f:2: zoen: is no setting; nearest is `zone`",
           "f:3: callers: is not IP:PORT", "f:4: grace_s: is not a positive time",
-          "f: store: is missing"})
+          "f:5: outgoing: is not an IPv4 address", "f: store: is missing"})
         BOOST_TEST((all.find(expected) != std::string::npos), expected << " in\n" << all);
 }
 
