Test that nodes cut from all endpoints serve their callers

Change: the soak's proxies cut the connections of one node, which hang, are reset, or go on while new ones are refused; the soak cuts a node or a zone for 8 s, and cut_check counts first tries as the users' rule does.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -78,4 +78,22 @@
     BOOST_TEST(WEXITSTATUS(status) == 0, "seed " << seed);
 }
 
+// Nodes that reached no endpoint refused all requests, although others could serve them
+BOOST_AUTO_TEST_CASE(nodes_that_are_cut_from_all_endpoints_serve_their_callers)
+{
+    auto const folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
+
+    // Connections that hang, that are refused, and that are reset, of a whole zone
+    for (unsigned const seed : {6201U, 6208U, 6211U})
+    {
+        auto const command =
+            fmt::format("{} --seed {} --seconds 10 --limits 0 --gap 8000 "
+                        "--crashing-callers 0 --cuts 1 --callers 24",
+                        (folder / "marjorampath-soak").string(), seed);
+        auto const status = std::system(command.c_str());
+        BOOST_TEST(WIFEXITED(status), "seed " << seed);
+        BOOST_TEST(WEXITSTATUS(status) == 0, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -44,6 +44,8 @@
 
     tcp::socket caller;
     tcp::socket target;
+    // Address that the caller connected from
+    asio::ip::address source;
 };
 
 fault_proxy::fault_proxy(asio::io_context& context, tcp::endpoint const& target)
@@ -69,6 +71,26 @@
                });
 }
 
+void fault_proxy::set_cut(asio::ip::address const& source, cut_kind kind)
+{
+    asio::post(context_,
+               [this, source, kind]
+               {
+                   cuts_[source] = kind;
+                   if (kind != cut_kind::reset)
+                       return;
+                   for (auto const& each : connections_)
+                       if (each->source == source)
+                           each->reset();
+               });
+}
+
+cut_kind fault_proxy::cut_of(asio::ip::address const& source) const
+{
+    auto const found = cuts_.find(source);
+    return found != cuts_.end() ? found->second : cut_kind::none;
+}
+
 asio::awaitable<void> fault_proxy::accept()
 {
     while (true)
@@ -77,6 +99,8 @@
         boost::system::error_code error;
         co_await acceptor_.async_accept(link->caller,
                                         asio::redirect_error(asio::use_awaitable, error));
+        if (!error)
+            link->source = link->caller.remote_endpoint(error).address();
         if (!error)
             asio::co_spawn(context_, open(link), asio::detached);
     }
@@ -85,8 +109,15 @@
 asio::awaitable<void> fault_proxy::open(std::shared_ptr<connection> link)
 {
     connections_.insert(link);
-    co_await apply_state(true);
+    co_await apply_state(*link, true);
     boost::system::error_code error;
+    auto const cut = cut_of(link->source);
+    if (cut == cut_kind::reset || cut == cut_kind::refuse_new)
+    {
+        link->reset();
+        connections_.erase(link);
+        co_return;
+    }
     co_await link->target.async_connect(target_,
                                         asio::redirect_error(asio::use_awaitable, error));
     if (error)
@@ -102,7 +133,7 @@
     connections_.erase(link);
 }
 
-asio::awaitable<void> fault_proxy::apply_state(bool to_target)
+asio::awaitable<void> fault_proxy::apply_state(connection const& link, bool to_target)
 {
     asio::steady_timer timer(context_);
     auto const one_way_cut =
@@ -112,7 +143,8 @@
         timer.expires_after(chunk_delay);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    while (state_ == link_state::silent || state_ == one_way_cut)
+    while (state_ == link_state::silent || state_ == one_way_cut ||
+           cut_of(link.source) == cut_kind::hang)
     {
         timer.expires_after(poll_interval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -131,7 +163,7 @@
         auto const free_space = asio::buffer(chunk);
         auto const size = co_await from.async_read_some(
             free_space, asio::redirect_error(asio::use_awaitable, error));
-        co_await apply_state(to_target);
+        co_await apply_state(*link, to_target);
         auto const bytes = asio::buffer(chunk, size);
         boost::system::error_code write_error;
         co_await asio::async_write(
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -28,6 +29,19 @@
     cut_to_caller
 };
 
+/// How a proxy cuts the connections of one source address.
+enum class cut_kind : std::uint8_t
+{
+    /// Not at all.
+    none,
+    /// Open connections and new ones hang.
+    hang,
+    /// Open connections and new ones are reset.
+    reset,
+    /// New connections are reset; open ones go on.
+    refuse_new
+};
+
 /// A TCP proxy on loopback that simulates a faulty network. Bytes that a state holds back
 /// are forwarded once it ends, as TCP would retransmit them.
 class fault_proxy
@@ -55,6 +69,9 @@
     /// Resets all connections. Thread-safe.
     void reset();
 
+    /// Cuts the connections from one address, or ends the cut. Thread-safe.
+    void set_cut(boost::asio::ip::address const& source, cut_kind kind);
+
 private:
     using tcp = boost::asio::ip::tcp;
     struct connection;
@@ -64,13 +81,17 @@
     boost::asio::awaitable<void> forward(std::shared_ptr<connection> link,
                                          bool to_target);
     // Applies the delay of the state, and waits while it blocks the direction
-    boost::asio::awaitable<void> apply_state(bool to_target);
+    boost::asio::awaitable<void> apply_state(connection const& link, bool to_target);
+    // How connections from an address are cut
+    [[nodiscard]] cut_kind cut_of(boost::asio::ip::address const& source) const;
 
     boost::asio::io_context& context_;
     tcp::acceptor acceptor_;
     tcp::endpoint target_;
     std::atomic<link_state> state_ = link_state::open;
     std::set<std::shared_ptr<connection>> connections_;
+    // Cuts by source address
+    std::map<boost::asio::ip::address, cut_kind> cuts_;
 };
 
 } // namespace marjorampath::test
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -69,6 +69,8 @@
     TCLAP::ValueArg<std::size_t> crashing_callers("", "crashing-callers",
                                                   "Callers whose requests crash engines",
                                                   false, 1, "number", command);
+    TCLAP::ValueArg<int> cuts("", "cuts", "Cuts of nodes from all endpoints", false, 0,
+                              "number", command);
     TCLAP::ValueArg<int> gap("", "gap", "Mean time between faults", false, 400,
                              "milliseconds", command);
     TCLAP::SwitchArg keep("", "keep", "Keep logs and records of passed seeds too",
@@ -84,7 +86,8 @@
             .schedule = {.seed = seed.getValue() + index,
                          .span = std::chrono::seconds(seconds.getValue()),
                          .mean_gap = std::chrono::milliseconds(gap.getValue()),
-                         .limits = limits.getValue()},
+                         .limits = limits.getValue(),
+                         .cuts = cuts.getValue()},
             .fleet = {.nodes = nodes.getValue(), .engines = engines.getValue()},
             .callers = callers.getValue(),
             .crashing_callers = crashing_callers.getValue()};
--- a/tests/soak/soak_check.hpp
+++ b/tests/soak/soak_check.hpp
@@ -3,6 +3,7 @@
 #include <tests/soak/soak_request.hpp>
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,16 @@
     std::int64_t to_ms = 0;
 };
 
+/// Nodes that were cut from all endpoints.
+struct cut_nodes
+{
+    /// Indices of the nodes.
+    std::set<std::size_t> nodes;
+    /// Begin and end, in milliseconds of the host's monotonic clock.
+    std::int64_t from_ms = 0;
+    std::int64_t to_ms = 0;
+};
+
 /// The observations that the promises are checked against.
 struct soak_evidence
 {
@@ -52,6 +63,8 @@
     std::vector<announced_version> versions;
     /// Times in which a node may use more of a limited rate than its share.
     std::vector<disrupted_node> disruptions;
+    /// Cuts of nodes from all endpoints.
+    std::vector<cut_nodes> cuts;
     /// When the nodes began to be stopped for good, in milliseconds of the host's
     /// monotonic clock.
     std::int64_t shutdown_ms = 0;
--- a/tests/soak/soak_fault.cpp
+++ b/tests/soak/soak_fault.cpp
@@ -16,7 +16,7 @@
 // Largest target number; above any count, since targets are taken modulo their count
 constexpr std::size_t max_target = 5'040;
 
-constexpr std::array<std::string_view, 16> names{
+constexpr std::array<std::string_view, 19> names{
     "link_delay",         "link_reset",
     "link_silence",       "link_cut_to_target",
     "link_cut_to_caller", "endpoint_pause",
@@ -24,7 +24,9 @@
     "node_pause",         "node_kill",
     "node_stop",          "node_reload",
     "store_pause",        "configuration_change",
-    "version_change",     "endpoint_limit"};
+    "version_change",     "endpoint_limit",
+    "node_cut_hang",      "node_cut_reset",
+    "node_cut_refuse"};
 
 // Kinds that are drawn at random times, the first ones of `names`
 constexpr int drawn_kinds = 15;
@@ -65,6 +67,19 @@
                             .duration = limit_duration,
                             .rate = static_cast<double>(draw(min_limit, max_limit)),
                             .target = static_cast<std::size_t>(draw(0, max_target))});
+    constexpr int cut_kinds = 3;
+    std::chrono::milliseconds cut_at(0);
+    for (int cut = 0; cut < options.cuts; ++cut)
+    {
+        cut_at += std::chrono::milliseconds(draw(0, last_limit_ms));
+        auto const first = static_cast<int>(fault_kind::node_cut_hang);
+        schedule.push_back(
+            {.kind = static_cast<fault_kind>(first + draw(0, cut_kinds - 1)),
+             .at = cut_at,
+             .duration = cut_duration,
+             .target = static_cast<std::size_t>(draw(0, max_target))});
+        cut_at += cut_duration;
+    }
     return schedule;
 }
 
--- a/tests/soak/soak_fault.hpp
+++ b/tests/soak/soak_fault.hpp
@@ -44,7 +44,14 @@
     /// The operator announces a version of an adapter.
     version_change,
     /// An endpoint names a limit on its request rate in its answers.
-    endpoint_limit
+    endpoint_limit,
+    /// A node, or all nodes of a zone, are cut from all endpoints: their connections
+    /// hang.
+    node_cut_hang,
+    /// The same; their connections are reset.
+    node_cut_reset,
+    /// The same; open connections go on, new ones are refused.
+    node_cut_refuse
 };
 
 /// Name of a fault kind.
@@ -69,6 +76,10 @@
 /// over which the requests are counted.
 inline constexpr std::chrono::milliseconds limit_duration{10'000};
 
+/// Duration of a cut of nodes from all endpoints: the time from which their first tries
+/// count, and as much again.
+inline constexpr std::chrono::milliseconds cut_duration{8'000};
+
 /// Parameters of a random schedule.
 struct schedule_options
 {
@@ -80,12 +91,14 @@
     std::chrono::milliseconds mean_gap{400};
     /// Number of endpoints that name a limit on their request rate.
     int limits = 1;
+    /// Number of cuts of nodes from all endpoints, one behind the other.
+    int cuts = 0;
     /// Longest duration of a fault.
     std::chrono::milliseconds max_duration{3'000};
 };
 
 /// Returns a random schedule; faults may overlap. The last ones are limits, each of which
-/// lasts for `limit_duration`.
+/// lasts for `limit_duration`, and cuts of nodes, which last for `cut_duration`.
 std::vector<soak_fault> generate_schedule(schedule_options const& options);
 
 } // namespace marjorampath::test
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -89,11 +89,12 @@
             "host: \"node-{}\"\nzone: \"{}\"\ncallers: \"{}\"\n"
             "readiness: \"{}\"\nreadiness_path: \"{}\"\nrelay: \"{}\"\n"
             "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
-            "grace_s: 8\n",
+            "outgoing: \"{}\"\ngrace_s: 8\n",
             index, zones.at(index % zones.size()), format_address(callers_[index]),
             format_address(nodes[index].readiness), readiness_path, relays_[index],
             peers_[index], fmt::join(relays_, "\", \""),
-            format_address(nodes[index].store->address()));
+            format_address(nodes[index].store->address()),
+            callers_[index].address().to_string());
 }
 
 std::string soak_fleet::endpoint_name(std::size_t index) const
@@ -177,6 +178,20 @@
          boost::json::serialize(values));
 }
 
+void soak_fleet::cut_node(std::size_t index, cut_kind kind)
+{
+    for (auto const& endpoint : endpoints)
+        endpoint.link->set_cut(callers_[index].address(), kind);
+}
+
+std::vector<std::size_t> soak_fleet::nodes_of_zone(std::size_t zone) const
+{
+    std::vector<std::size_t> found;
+    for (auto index = zone % zones.size(); index < nodes.size(); index += zones.size())
+        found.push_back(index);
+    return found;
+}
+
 void soak_fleet::put(std::string const& key, std::string const& value) const
 {
     auto const answer = call(store->address(), "PUT", "/standin/put?key=" + key, value);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -74,6 +74,10 @@
     void drain_endpoint(std::size_t index);
     /// Makes an endpoint name a limit on its request rate, or none any more.
     void limit_endpoint(std::size_t index, std::optional<double> rate);
+    /// Cuts a node from all endpoints, or ends the cut.
+    void cut_node(std::size_t index, cut_kind kind);
+    /// Nodes of a zone.
+    [[nodiscard]] std::vector<std::size_t> nodes_of_zone(std::size_t zone) const;
     /// Announces the next version of an adapter and returns its number.
     std::uint64_t announce_version(std::string const& adapter);
     /// Publishes the configuration under its next version.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,3 +1,4 @@
+#include <tests/soak/cut_check.hpp>
 #include <tests/soak/limit_check.hpp>
 #include <tests/soak/monotonic_time.hpp>
 #include <tests/soak/part_check.hpp>
@@ -111,6 +112,8 @@
         breaches_.push_back(std::move(breach));
     for (auto& breach : check_crashing_part(evidence_))
         breaches_.push_back(std::move(breach));
+    for (auto& breach : check_cuts(evidence_))
+        breaches_.push_back(std::move(breach));
     return breaches_;
 }
 
@@ -175,6 +178,10 @@
         return inject_endpoint_fault(fault);
     case fault_kind::endpoint_limit:
         return inject_limit(fault);
+    case fault_kind::node_cut_hang:
+    case fault_kind::node_cut_reset:
+    case fault_kind::node_cut_refuse:
+        return inject_cut(fault);
     case fault_kind::node_pause:
     case fault_kind::node_kill:
     case fault_kind::node_stop:
@@ -217,6 +224,29 @@
                    [this, index] { fleet_.limit_endpoint(index, std::nullopt); });
 }
 
+void soak_run::inject_cut(soak_fault const& fault)
+{
+    // A node, or a whole zone
+    auto const target = fault.target % (fleet_.nodes.size() + 2);
+    auto const nodes = target < fleet_.nodes.size() ? std::vector<std::size_t>{target}
+                                                    : fleet_.nodes_of_zone(target);
+    auto const kind = fault.kind == fault_kind::node_cut_hang    ? cut_kind::hang
+                      : fault.kind == fault_kind::node_cut_reset ? cut_kind::reset
+                                                                 : cut_kind::refuse_new;
+    auto const now = monotonic_ms();
+    evidence_.cuts.push_back({.nodes = {nodes.begin(), nodes.end()},
+                              .from_ms = now,
+                              .to_ms = now + fault.duration.count()});
+    for (auto const node : nodes)
+        fleet_.cut_node(node, kind);
+    schedule_after(fault.duration,
+                   [this, nodes]
+                   {
+                       for (auto const node : nodes)
+                           fleet_.cut_node(node, cut_kind::none);
+                   });
+}
+
 void soak_run::note_disruption(std::size_t node, std::chrono::milliseconds time,
                                std::string const& endpoint)
 {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -69,6 +69,7 @@
     void inject_endpoint_fault(soak_fault const& fault);
     void inject_node_fault(soak_fault const& fault);
     void inject_limit(soak_fault const& fault);
+    void inject_cut(soak_fault const& fault);
     // Notes that a node, or its link to one endpoint, is disrupted from now on
     void note_disruption(std::size_t node, std::chrono::milliseconds time,
                          std::string const& endpoint = {});
