Pass requests on to hosts that reach the service

Cause: a host could have a request served only by sending it to an endpoint itself. One that reached none could only refuse, and it found that out anew for each request, 0.45 s for each endpoint where connects hang.

Change: while reach_monitor says that a host is cut from a service, or a request has no endpoint left that the host can connect to, the request goes to another host that is alive and reaches the service. Heartbeats tell which services a host does not reach. The other host serves it like a caller's, passes nothing on again, and its answer goes back unchanged. A stream that began at another host goes on only through a host, which finds its origin. Such requests count once in the retry budgets.

Why it works: the links between hosts and those to engines fail apart, and one hop costs a few milliseconds.

--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -76,6 +76,8 @@
     /// Parts of prompts that were in flight when endpoints crashed, or whose suspicion is
     /// refuted.
     std::vector<part_report> parts;
+    /// Services of which the sender reaches no endpoint.
+    std::vector<service_id> unreached_services;
 };
 
 } // namespace marjorampath
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -117,6 +117,7 @@
   convictions @13 :List(Node.Conviction);
   rateLimits @14 :List(RateLimit);
   parts @15 :List(PartReport);
+  unreachedServices @16 :List(UInt64);
 }
 
 struct LoadRequest {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -264,7 +264,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 7, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 7, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1713,6 +1713,9 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::marjorampath::schema::PartReport,  ::capnp::Kind::STRUCT>::Reader getParts() const;
 
+  inline bool hasUnreachedServices() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreachedServices() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1817,6 +1820,14 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::PartReport,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::PartReport,  ::capnp::Kind::STRUCT>> disownParts();
 
+  inline bool hasUnreachedServices();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnreachedServices();
+  inline void setUnreachedServices( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnreachedServices(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnreachedServices(unsigned int size);
+  inline void adoptUnreachedServices(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnreachedServices();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3683,6 +3694,44 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool PeerBeat::Reader::hasUnreachedServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBeat::Builder::hasUnreachedServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerBeat::Reader::getUnreachedServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerBeat::Builder::getUnreachedServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void PeerBeat::Builder::setUnreachedServices( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void PeerBeat::Builder::setUnreachedServices(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerBeat::Builder::initUnreachedServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void PeerBeat::Builder::adoptUnreachedServices(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerBeat::Builder::disownUnreachedServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -3,6 +3,7 @@
 #include <marjorampath/deployment/route_table.hpp>
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
+#include <marjorampath/peer/peer_heartbeat.hpp>
 #include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
 #include <marjorampath/reachability/reach_monitor.hpp>
 #include <marjorampath/stream_origin/stream_origin.hpp>
@@ -23,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace marjorampath::serving
@@ -34,6 +36,8 @@
     /// Time within which a connection to an endpoint must be established: several round
     /// trips to another zone and one lost packet.
     duration connect_timeout = std::chrono::milliseconds(450);
+    /// The same for a connection to another host, which is known to be alive.
+    duration peer_connect_timeout = std::chrono::milliseconds(150);
     /// Fraction of the latency objective after which an attempt of a safe request without
     /// an answer is abandoned for another endpoint.
     double attempt_timeout_fraction = 0.8;
@@ -97,6 +101,11 @@
     std::function<bool(endpoint_id, bool)> report_usage;
     /// Finds out whether an endpoint whose answer broke off has crashed.
     std::function<void(endpoint_announcement const&)> check_endpoint;
+    /// Chooses a host that reaches a service, for a request that this host cannot send to
+    /// an endpoint; hosts in the list could not take it.
+    std::function<std::optional<peer_address>(service_id, request_id,
+                                              std::span<peer_address const>)>
+        choose_peer;
     /// Requests a permit for one request to an endpoint that limits its rate, under a
     /// number of `permit_replies`. Empty if another host was asked, whose reply ends the
     /// wait there, unless a datagram is lost.
--- a/serving/entry/entry_dialect.hpp
+++ b/serving/entry/entry_dialect.hpp
@@ -42,6 +42,10 @@
     {
         Dialect::endpoint_message(message, endpoint, options)
         } -> std::same_as<caller_message>;
+    // The request as another host of the fleet serves it for this one
+    {
+        Dialect::forwarded_message(message, options)
+        } -> std::same_as<caller_message>;
     // Classifies an endpoint's answer by its head, given the identifier of the caller's
     // attempt and the name of the endpoint that the request was sent to
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -36,11 +36,12 @@
 class entry_exchange
 {
 public:
-    /// All arguments outlive the exchange.
+    /// All arguments outlive the exchange. `forwarded` tells that another host passed the
+    /// request on.
     entry_exchange(entry_context& context, caller_session& session,
-                   caller_message const& message)
+                   caller_message const& message, bool forwarded = false)
         : context_(&context), session_(&session), message_(&message),
-          timer_(context.callers.loop)
+          forwarded_here_(forwarded), timer_(context.callers.loop)
     {
     }
 
@@ -82,6 +83,8 @@
     static constexpr unsigned max_refused_permits = 3;
     // Logged in place of a rate limit where none is in force
     static constexpr double no_rate_limit = -1;
+    // Most hosts that a request is passed to
+    static constexpr std::size_t max_peers = 2;
     // Most waits of one request for its adapter
     static constexpr unsigned max_adapter_waits = 30;
 
@@ -109,7 +112,24 @@
     boost::asio::awaitable<attempt_end>
     send_and_receive(endpoint_announcement const& endpoint);
     // Takes an idle connection to an endpoint or opens one; false if that fails
-    boost::asio::awaitable<bool> connect(directory_entry const& endpoint);
+    boost::asio::awaitable<bool> connect(directory_entry const& endpoint,
+                                         duration timeout);
+    // Resets the state of the attempt before
+    void begin_attempt();
+    // Closes the connection of an attempt, unless it was returned to the pool
+    void end_attempt();
+    // Takes one retry out of the service's budget; false if there is none
+    bool take_retry();
+    // Chooses another host that can serve the request
+    [[nodiscard]] std::optional<peer_address> choose_peer() const;
+    // Whether a refusal is due to this host's links: no endpoint of the service is left
+    // that it can connect to
+    [[nodiscard]] bool has_lost_reach(dispatch_decision const& decision) const;
+    // Has another host serve the request, and handles the end of that
+    boost::asio::awaitable<void> forward(peer_address peer);
+    // Sends the request to another host and forwards its answer
+    boost::asio::awaitable<attempt_end> send_to_peer(peer_address peer);
+    boost::asio::awaitable<attempt_end> process_peer_answer(answer_reader& reader);
     // Reads the answer to this request, skipping answers to other requests
     boost::asio::awaitable<attempt_end> read_answer(endpoint_announcement const& endpoint,
                                                     directory_entry const& entry);
@@ -191,6 +211,8 @@
     entry_request request_;
     // Aborts the exchange at its deadline or when the caller is gone
     std::shared_ptr<exchange_control> control_;
+    // Whether another host passed the request on
+    bool forwarded_here_;
     // Ends a step of an attempt, or a wait
     boost::asio::steady_timer timer_;
     // Time limit of the current step of an attempt
@@ -203,6 +225,12 @@
     std::string current_software_version_;
     // The stream whose origin other hosts remember, once it has begun
     std::optional<stream_id> open_stream_;
+    // Hosts that the request was passed to
+    std::vector<peer_address> tried_peers_;
+    // Whether the current attempt is at another host
+    bool at_peer_ = false;
+    // Whether the answer began at another host, which alone can find its origin
+    bool begun_by_peer_ = false;
     // Endpoints that are excluded from further attempts
     std::vector<endpoint_id> excluded_endpoints_;
     // Splits the stream into events, over all attempts
@@ -246,5 +274,6 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_exchange.inl>
+#include <serving/entry/entry_exchange_forward.inl>
 #include <serving/entry/entry_exchange_limits.inl>
 #include <serving/entry/entry_exchange_origin.inl>
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -16,7 +16,7 @@
     request_ = std::move(std::get<entry_request>(read));
     events_ = event_splitter({.last_id = request_.last_event});
     auto const budget = context_->budgets.find(request_.dispatch_call.service);
-    if (budget != context_->budgets.end())
+    if (budget != context_->budgets.end() && !forwarded_here_)
         budget->second.on_request(begin_);
 
     auto* session = session_;
@@ -45,6 +45,19 @@
     }
     if (co_await refuse_convicted())
         co_return;
+    if (begun_by_peer_ || context_->reach.is_cut(request_.dispatch_call.service))
+    {
+        if (auto const peer = choose_peer())
+        {
+            co_await forward(*peer);
+            co_return;
+        }
+        if (begun_by_peer_)
+        {
+            co_await conclude_failed(error_kind::endpoint_lost, {});
+            co_return;
+        }
+    }
     auto const now = boot_now();
     auto const decision =
         context_->dispatch.decide(request_.dispatch_call, excluded_endpoints_, now);
@@ -71,7 +84,10 @@
         co_await await_adapter(decision);
         break;
     case dispatch_action::refuse:
-        co_await conclude_failed(decision.reason, decision.retry_after);
+        if (auto const peer = has_lost_reach(decision) ? choose_peer() : std::nullopt)
+            co_await forward(*peer);
+        else
+            co_await conclude_failed(decision.reason, decision.retry_after);
         break;
     case dispatch_action::send:
         co_await attempt_with_permit(load->announced);
@@ -177,28 +193,16 @@
 boost::asio::awaitable<void>
 entry_exchange<Dialect>::attempt(endpoint_announcement endpoint)
 {
-    if (sends_ > 0)
+    if (sends_ > 0 && (!take_retry() || sends_ >= max_sends))
     {
-        auto const budget = context_->budgets.find(request_.dispatch_call.service);
-        auto const allowed = budget == context_->budgets.end() ||
-                             budget->second.take(boot_now(), context_->host_count());
-        if (!allowed || sends_ >= max_sends)
-        {
-            co_await conclude_failed(error_kind::no_endpoint,
-                                     context_->times.retry_pause);
-            co_return;
-        }
+        co_await conclude_failed(error_kind::no_endpoint, context_->times.retry_pause);
+        co_return;
     }
     if (sends_ == 0 && !request_.dispatch_call.adapter.empty())
         context_->metrics.shard.latency(stall_metric)
             .record(std::chrono::duration<double>(boot_now() - begin_).count());
 
-    answer_started_ = false;
-    answer_framed_ = false;
-    endpoint_answered_ = false;
-    attempt_after_event_ = events_.last_id().value_or(0);
-    longest_pause_ = {};
-    timeout_ = nullptr;
+    begin_attempt();
     current_endpoint_ = endpoint.id;
     current_software_version_ = endpoint.software_version;
     auto const limit = context_->rate_limits.limit_of(endpoint.id);
@@ -210,14 +214,7 @@
     context_->suspects.on_grant(attempt_id, request_.dispatch_call.fingerprint,
                                 endpoint.id);
     auto const end = co_await send_and_receive(endpoint);
-    cancel_attempt_timeout();
-    control_->set_connection(nullptr);
-    if (connection_)
-    {
-        error_code ignored;
-        connection_->close(ignored);
-        connection_ = nullptr;
-    }
+    end_attempt();
 
     auto const now = boot_now();
     context_->dispatch.on_ended(request_.dispatch_call, endpoint.id, end, answer_started_,
@@ -234,6 +231,37 @@
     co_await on_end(endpoint, end);
 }
 
+template <entry_dialect Dialect>
+bool entry_exchange<Dialect>::take_retry()
+{
+    auto const budget = context_->budgets.find(request_.dispatch_call.service);
+    return budget == context_->budgets.end() ||
+           budget->second.take(boot_now(), context_->host_count());
+}
+
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::begin_attempt()
+{
+    answer_started_ = false;
+    answer_framed_ = false;
+    endpoint_answered_ = false;
+    attempt_after_event_ = events_.last_id().value_or(0);
+    longest_pause_ = {};
+    timeout_ = nullptr;
+}
+
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::end_attempt()
+{
+    cancel_attempt_timeout();
+    control_->set_connection(nullptr);
+    if (!connection_)
+        return;
+    error_code ignored;
+    connection_->close(ignored);
+    connection_ = nullptr;
+}
+
 template <entry_dialect Dialect>
 void entry_exchange<Dialect>::log_attempt(endpoint_announcement const& endpoint,
                                           attempt_end end,
@@ -255,7 +283,7 @@
 
 template <entry_dialect Dialect>
 boost::asio::awaitable<bool>
-entry_exchange<Dialect>::connect(directory_entry const& endpoint)
+entry_exchange<Dialect>::connect(directory_entry const& endpoint, duration timeout)
 {
     // An endpoint may close an idle connection at any time. It is then unknown whether it
     // ran what was written, so requests that must not run twice use a recent connection
@@ -270,7 +298,7 @@
     }
     connection_ = context_->connections.make_socket();
     control_->set_connection(connection_);
-    start_attempt_timeout(context_->times.connect_timeout);
+    start_attempt_timeout(timeout);
     auto const failed = co_await connection_pool::connect(connection_, endpoint.address);
     cancel_attempt_timeout();
     co_return !failed;
@@ -323,7 +351,7 @@
 entry_exchange<Dialect>::send_and_receive(endpoint_announcement const& endpoint)
 {
     auto const entry = make_directory_entry(endpoint);
-    auto const connected = co_await connect(entry);
+    auto const connected = co_await connect(entry, context_->times.connect_timeout);
     if (aborted())
         co_return attempt_end::cancelled;
     if (!connected)
@@ -484,7 +512,8 @@
                                         std::string const& events)
 {
     auto const now = boot_now();
-    context_->reach.on_answer(request_.dispatch_call.service);
+    if (!at_peer_)
+        context_->reach.on_answer(request_.dispatch_call.service);
     if (answer_started_)
         longest_pause_ = std::max(longest_pause_, now - last_events_at_);
     last_events_at_ = now;
@@ -502,7 +531,9 @@
         log_event(event::request_answered, "request", request_.caller_attempt_id,
                   "first_event_ms", (boot_now() - begin_).count() / 1'000'000);
         head_sent_ = true;
-        pin_software_version();
+        begun_by_peer_ = at_peer_;
+        if (!at_peer_)
+            pin_software_version();
         auto head = Dialect::caller_head(reader.get_head());
         head.erase(boost::beast::http::field::content_length);
         if (session_->accepts_chunks())
--- a/serving/entry/entry_metrics.hpp
+++ b/serving/entry/entry_metrics.hpp
@@ -17,6 +17,10 @@
 /// Attempts at endpoints by how they ended.
 inline constexpr metric attempts_metric{.name = "marjorampath_attempts_total",
                                         .help = "Sends to endpoints by their end."};
+/// Requests that another host was to serve by how that ended.
+inline constexpr metric forwards_metric{
+    .name = "marjorampath_forwards_total",
+    .help = "Requests passed to other hosts, as no endpoint was reached, by end."};
 /// Attempts at endpoints whose request rate was limited when they were made.
 inline constexpr metric limited_sends_metric{
     .name = "marjorampath_limited_sends_total",
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -3,6 +3,7 @@
 #include <marjorampath/adapter_load/load_planner.hpp>
 #include <marjorampath/deployment/endpoint_catalog.hpp>
 #include <marjorampath/deployment/software_history.hpp>
+#include <marjorampath/peer/forward_choice.hpp>
 #include <marjorampath/peer/relay_choice.hpp>
 #include <marjorampath/stream_origin/open_streams.hpp>
 #include <marjorampath/stream_origin/stream_origin_table.hpp>
@@ -106,6 +107,8 @@
     static constexpr std::string_view operator_relay_path = "/relay/operator?after=";
     // Header with the age of a relayed listing, in milliseconds
     static constexpr char const* listing_age_header = "Listing-Age-Ms";
+    // Fields that a host adds to a request that it passes on, in bytes
+    static constexpr std::uint32_t max_forward_fields_bytes = 1'024;
     // Largest answer that is read from a peer, in bytes: a megabyte of configuration and
     // thousands of adapter versions
     static constexpr std::size_t max_relay_answer_bytes = 8'000'000;
@@ -143,6 +146,8 @@
 
     // Makes the state that the exchanges share
     entry_context make_context();
+    // Makes the handler of requests, of callers or passed on by other hosts
+    auto make_handler(bool forwarded);
     // Makes the settings and callbacks of the fleet membership
     entry_fleet_options make_fleet_options() const;
     entry_fleet_events make_fleet_events();
@@ -262,6 +267,8 @@
     [[nodiscard]] bool ready() const;
     // Accepts no further callers; the node finishes when their requests have ended
     void stop_callers();
+    // Ends the node once no request of callers or of other hosts is left
+    void on_listener_drained();
     // Ends the node and cuts the requests that remain
     void finish();
 
@@ -285,8 +292,12 @@
     entry_context context_;
     // State that the connections to the service addresses share
     caller_context service_context_;
+    // State that the connections of other hosts which pass requests on share
+    caller_context forward_context_;
     // Connections of callers
     caller_listener callers_;
+    // Connections of other hosts which pass requests on
+    caller_listener forwards_;
     // Connections of the balancer, of other hosts and of the metrics collector
     caller_listener readiness_;
     caller_listener relay_;
@@ -335,6 +346,8 @@
     bool was_ready_ = false;
     // Chooses the endpoints that are probed
     std::minstd_rand probe_random_;
+    // Listeners that still have requests during the shutdown
+    unsigned draining_listeners_ = 0;
     // Whether the node is shutting down
     bool stopping_ = false;
     // Whether the node has ended
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -12,7 +12,11 @@
           .limits = {},
           .handle_request = [this](caller_session& session, caller_message const& message)
           { return answer_service(session, message); }},
-      callers_(context_.callers), readiness_(service_context_), relay_(service_context_),
+      forward_context_{.loop = loop_,
+                       .limits = context_.callers.limits,
+                       .handle_request = make_handler(true)},
+      callers_(context_.callers), forwards_(forward_context_),
+      readiness_(service_context_), relay_(service_context_),
       metrics_listener_(service_context_),
       source_(loop_.get_executor(), {.server = settings_.store}),
       order_connections_(loop_.get_executor(), {.source = settings_.outgoing}),
@@ -25,6 +29,23 @@
 {
 }
 
+template <entry_platform Platform>
+auto entry_node<Platform>::make_handler(bool forwarded)
+{
+    return [this, forwarded](caller_session& session, caller_message const& message)
+    {
+        // The exchange lives as long as the coroutine
+        return [](entry_context& context, caller_session& caller,
+                  caller_message const& request,
+                  bool passed_on) -> boost::asio::awaitable<void>
+        {
+            entry_exchange<typename Platform::dialect> exchange(context, caller, request,
+                                                                passed_on);
+            co_await exchange.run();
+        }(context_, session, message, forwarded);
+    };
+}
+
 template <entry_platform Platform>
 entry_context entry_node<Platform>::make_context()
 {
@@ -34,19 +55,7 @@
                                    static_cast<std::uint64_t>(wall_now().count()));
     return {.callers = {.loop = loop_,
                         .limits = {.max_connections = connections},
-                        .handle_request =
-                            [this](caller_session& session, caller_message const& message)
-                        {
-                            // The exchange lives as long as the coroutine
-                            return [](entry_context& context, caller_session& caller,
-                                      caller_message const& request)
-                                       -> boost::asio::awaitable<void>
-                            {
-                                entry_exchange<typename Platform::dialect> exchange(
-                                    context, caller, request);
-                                co_await exchange.run();
-                            }(context_, session, message);
-                        },
+                        .handle_request = make_handler(false),
                         .request_seed = seed},
             .times = {},
             .routes = nullptr,
@@ -73,6 +82,17 @@
             { return report_usage(engine, wants_status); },
             .check_endpoint = [this](endpoint_announcement const& endpoint)
             { check_endpoint(endpoint); },
+            .choose_peer =
+                [this](service_id service, request_id request,
+                       std::span<peer_address const> tried)
+            {
+                return choose_forward_host(fleet_.peers(),
+                                           {.request = request,
+                                            .service = service,
+                                            .zone = zone_id::of(settings_.zone),
+                                            .tried = tried},
+                                           boot_now());
+            },
             .request_permit = [this](endpoint_id endpoint, std::uint64_t number)
             { return request_permit(endpoint, number); },
             .report_rate_limit = [this](rate_limit_notice const& notice)
@@ -155,6 +175,9 @@
 boost::system::error_code entry_node<Platform>::listen()
 {
     auto error = callers_.listen(settings_.callers);
+    if (!error)
+        error = forwards_.listen({boost::asio::ip::address_v4(settings_.peers.address),
+                                  settings_.peers.port});
     if (!error)
         error = readiness_.listen(settings_.readiness);
     if (!error)
@@ -175,6 +198,7 @@
     watch_signals();
     unblock_signals();
     callers_.start();
+    forwards_.start();
     readiness_.start();
     relay_.start();
     if (settings_.metrics)
@@ -439,6 +463,7 @@
     heartbeat.convictions = context_.suspects.convictions(now);
     heartbeat.rate_limits = context_.rate_limits.reported(fleet_.peers(), now);
     heartbeat.parts = context_.parts.reports(now);
+    heartbeat.unreached_services = context_.reach.cut_services();
 }
 
 template <entry_platform Platform>
@@ -524,6 +549,7 @@
         return;
     stopping_ = true;
     context_.callers.stopping = true;
+    forward_context_.stopping = true;
     log_event(event::shutdown_started, "notice_ms",
               times_.shutdown_notice.count() / 1'000'000, "connections",
               callers_.connections());
@@ -542,7 +568,16 @@
 template <entry_platform Platform>
 void entry_node<Platform>::stop_callers()
 {
-    callers_.stop([this] { finish(); });
+    draining_listeners_ = 2;
+    callers_.stop([this] { on_listener_drained(); });
+    forwards_.stop([this] { on_listener_drained(); });
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::on_listener_drained()
+{
+    if (--draining_listeners_ == 0)
+        finish();
 }
 
 template <entry_platform Platform>
@@ -550,7 +585,8 @@
 {
     if (std::exchange(finished_, true))
         return;
-    log_event(event::shutdown_finished, "cut", callers_.connections());
+    log_event(event::shutdown_finished, "cut",
+              callers_.connections() + forwards_.connections());
     fleet_.close();
     source_.close();
     signals_.cancel();
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -269,6 +269,10 @@
     encode_list(value.convictions, wire.initConvictions(wire_size(value.convictions)));
     encode_list(value.rate_limits, wire.initRateLimits(wire_size(value.rate_limits)));
     encode_list(value.parts, wire.initParts(wire_size(value.parts)));
+    auto unreached = wire.initUnreachedServices(wire_size(value.unreached_services));
+    for (std::size_t index = 0; index < value.unreached_services.size(); ++index)
+        unreached.set(static_cast<capnp::uint>(index),
+                      value.unreached_services[index].number());
 }
 
 void decode(PeerBeat::Reader wire, peer_heartbeat& value)
@@ -289,6 +293,8 @@
     decode_list(wire.getConvictions(), value.convictions);
     decode_list(wire.getRateLimits(), value.rate_limits);
     decode_list(wire.getParts(), value.parts);
+    for (auto const service : wire.getUnreachedServices())
+        value.unreached_services.emplace_back(service);
 }
 
 void encode(load_request const& value, LoadRequest::Builder wire)
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -196,6 +196,9 @@
                 "A caller continues a stream. `software` is the version that began it; "
                 "`source` says how it was found: the service has had only this version, "
                 "or a host remembered it. With `source` none the request is refused."},
+    event_entry{request_forwarded, info, "request_forwarded",
+                "This host reaches no endpoint of the service, and another host, `peer`, "
+                "was to serve the request; its log has the same id. `end` says how."},
     event_entry{request_suspected, warning, "request_suspected",
                 "A request was in flight when its endpoint crashed; it is rerun in "
                 "isolation."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -92,6 +92,7 @@
     request_answered = 605,
     request_rejected = 606,
     stream_resumed = 607,
+    request_forwarded = 608,
     request_suspected = 620,
     request_convicted = 621,
     conviction_expired = 622,
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -277,6 +277,10 @@
     // Origins of streams, and whether another host knows them
     std::map<stream_id, std::string> origins;
     bool origins_are_remote = false;
+    // Whether requests were passed on by another host
+    bool forwarded = false;
+    // Hosts that requests can be passed to, in the order of their use
+    std::vector<peer_address> peer_hosts;
     // Endpoints that were checked because an answer broke off
     std::vector<std::string> checked;
     std::function<void()> on_check;
@@ -293,12 +297,13 @@
                         [this](caller_session& session, caller_message const& message)
                     {
                         return [](entry_context& shared, caller_session& caller,
-                                  caller_message const& request) -> asio::awaitable<void>
+                                  caller_message const& request,
+                                  bool passed_on) -> asio::awaitable<void>
                         {
                             entry_exchange<platform::request_dialect> exchange(
-                                shared, caller, request);
+                                shared, caller, request, passed_on);
                             co_await exchange.run();
-                        }(context, session, message);
+                        }(context, session, message, forwarded);
                     }},
         .times = {},
         .routes = nullptr,
@@ -320,6 +325,13 @@
             if (on_check)
                 on_check();
         },
+        .choose_peer =
+            [this](service_id, request_id, std::span<peer_address const> tried)
+        {
+            return tried.size() < peer_hosts.size()
+                       ? std::optional<peer_address>(peer_hosts[tried.size()])
+                       : std::nullopt;
+        },
         .request_permit =
             [this](endpoint_id endpoint, std::uint64_t number)
         {
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -264,6 +264,33 @@
             state::invalid));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_passed_on_like_its_caller_sent_it)
+{
+    serving::caller_message message(boost::beast::http::verb::post, "/p/x", 11);
+    message.set("Host", "a.example");
+    message.set("X-Attempt-Id", "9c41");
+    message.set("X-Deadline-Ms", "5000");
+    message.set("Connection", "close");
+    message.body() = "body";
+    auto const passed =
+        request_dialect::forwarded_message(message, {.time_left = 1'234ms});
+    BOOST_TEST(passed["Host"] == "a.example");
+    BOOST_TEST(passed["X-Attempt-Id"] == "9c41");
+    BOOST_TEST(passed["X-Deadline-Ms"] == "1234");
+    BOOST_TEST(passed.body() == "body");
+    BOOST_TEST(passed["Connection"].empty());
+    BOOST_TEST(passed["Resumes"].empty());
+    BOOST_TEST(passed["X-Expect-Instance"].empty());
+
+    // A stream of the caller keeps its own origin
+    message.set("Last-Event-Id", "3");
+    message.set("Resumes", "77aa");
+    auto const continued =
+        request_dialect::forwarded_message(message, {.time_left = 1s, .last_event = 5});
+    BOOST_TEST(continued["Last-Event-Id"] == "5");
+    BOOST_TEST(continued["Resumes"] == "77aa");
+}
+
 BOOST_AUTO_TEST_CASE(error_answers_carry_retry_after_and_status)
 {
     auto const answer = request_dialect::error_answer(
