Bound the connections of hosts that pass requests on

Cause: hosts that pass requests on could open as many connections as callers may, and together with those to endpoints more than the process has descriptors. Change: a quarter of the callers' number.

--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -109,6 +109,9 @@
     static constexpr char const* listing_age_header = "Listing-Age-Ms";
     // Fields that a host adds to a request that it passes on, in bytes
     static constexpr std::uint32_t max_forward_fields_bytes = 1'024;
+    // Callers may open this many times as many connections as other hosts that pass
+    // requests on
+    static constexpr std::size_t forward_connections_divisor = 4;
     // Largest answer that is read from a peer, in bytes: a megabyte of configuration and
     // thousands of adapter versions
     static constexpr std::size_t max_relay_answer_bytes = 8'000'000;
@@ -146,6 +149,8 @@
 
     // Makes the state that the exchanges share
     entry_context make_context();
+    // Limits on requests that other hosts pass on
+    [[nodiscard]] caller_limits forward_limits() const;
     // Makes the handler of requests, of callers or passed on by other hosts
     auto make_handler(bool forwarded);
     // Makes the settings and callbacks of the fleet membership
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -13,7 +13,7 @@
           .handle_request = [this](caller_session& session, caller_message const& message)
           { return answer_service(session, message); }},
       forward_context_{.loop = loop_,
-                       .limits = context_.callers.limits,
+                       .limits = forward_limits(),
                        .handle_request = make_handler(true)},
       callers_(context_.callers), forwards_(forward_context_),
       readiness_(service_context_), relay_(service_context_),
@@ -29,6 +29,15 @@
 {
 }
 
+template <entry_platform Platform>
+caller_limits entry_node<Platform>::forward_limits() const
+{
+    auto limits = context_.callers.limits;
+    limits.max_head_bytes += max_forward_fields_bytes;
+    limits.max_connections /= forward_connections_divisor;
+    return limits;
+}
+
 template <entry_platform Platform>
 auto entry_node<Platform>::make_handler(bool forwarded)
 {
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -115,8 +115,7 @@
     limits.max_head_bytes = configuration->bounds.max_head_bytes;
     limits.max_body_bytes = configuration->bounds.max_body_bytes;
     limits.idle_timeout = configuration->bounds.idle_timeout;
-    forward_context_.limits = limits;
-    forward_context_.limits.max_head_bytes += max_forward_fields_bytes;
+    forward_context_.limits = forward_limits();
     for (auto const& service : configuration->services)
         context_.budgets.try_emplace(service.id, budget_options());
     update_engines();
