--- a/tests/soak/cut_check.cpp
+++ b/tests/soak/cut_check.cpp
@@ -3,6 +3,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
 namespace marjorampath::test
 {
 
@@ -21,6 +25,16 @@
     std::size_t served = 0;
 };
 
+// Whether no other fault disrupts one of the nodes that are cut, so that the nodes can be
+// compared
+bool is_comparable(soak_evidence const& evidence, cut_nodes const& cut,
+                   std::int64_t at_ms)
+{
+    return std::any_of(cut.nodes.begin(), cut.nodes.end(),
+                       [&](auto node)
+                       { return !is_disrupted(evidence, node, {}, at_ms, contact_ms); });
+}
+
 // First tries at nodes that are cut, or at the others, that no other fault disrupts
 served_share share(soak_evidence const& evidence, cut_nodes const& cut, bool at_cut_nodes)
 {
@@ -30,7 +44,8 @@
         if (request.crashes_engines || request.after_event != 0 ||
             request.sent_ms < cut.from_ms + contact_ms || request.sent_ms >= cut.to_ms ||
             cut.nodes.contains(request.node) != at_cut_nodes ||
-            is_disrupted(evidence, request.node, {}, request.sent_ms, contact_ms))
+            is_disrupted(evidence, request.node, {}, request.sent_ms, contact_ms) ||
+            !is_comparable(evidence, cut, request.sent_ms))
             continue;
         ++found.sent;
         found.served += request.correct;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -69,7 +69,7 @@
     TCLAP::ValueArg<std::size_t> crashing_callers("", "crashing-callers",
                                                   "Callers whose requests crash engines",
                                                   false, 1, "number", command);
-    TCLAP::ValueArg<int> cuts("", "cuts", "Cuts of nodes from all endpoints", false, 0,
+    TCLAP::ValueArg<int> cuts("", "cuts", "Cuts of nodes from all endpoints", false, 1,
                               "number", command);
     TCLAP::ValueArg<int> gap("", "gap", "Mean time between faults", false, 400,
                              "milliseconds", command);
--- a/tests/soak/soak_fault.hpp
+++ b/tests/soak/soak_fault.hpp
@@ -92,7 +92,7 @@
     /// Number of endpoints that name a limit on their request rate.
     int limits = 1;
     /// Number of cuts of nodes from all endpoints, one behind the other.
-    int cuts = 0;
+    int cuts = 1;
     /// Longest duration of a fault.
     std::chrono::milliseconds max_duration{3'000};
 };
