Split the exchange and the node by job

Change: the answers of endpoints, the crashes and the messages of the fleet are files of their own; options of a connection pool are moved, as the linter asks. Result: code moved only; the unit tests pass.

--- a/serving/endpoint/connection_pool.cpp
+++ b/serving/endpoint/connection_pool.cpp
@@ -31,7 +31,7 @@
 
 connection_pool::connection_pool(asio::any_io_executor executor,
                                  connection_pool_options options)
-    : executor_(std::move(executor)), options_(options)
+    : executor_(std::move(executor)), options_(std::move(options))
 {
 }
 
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -274,6 +274,8 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_exchange.inl>
+#include <serving/entry/entry_exchange_answer.inl>
+#include <serving/entry/entry_exchange_crashes.inl>
 #include <serving/entry/entry_exchange_forward.inl>
 #include <serving/entry/entry_exchange_limits.inl>
 #include <serving/entry/entry_exchange_origin.inl>
--- /dev/null
+++ b/serving/entry/entry_exchange_answer.inl
@@ -0,0 +1,171 @@
+namespace marjorampath::serving
+{
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<attempt_end>
+entry_exchange<Dialect>::read_answer(endpoint_announcement const& endpoint,
+                                     directory_entry const& entry)
+{
+    std::string early;
+    for (unsigned skipped = 0; skipped <= max_skipped_answers; ++skipped)
+    {
+        answer_reader reader(connection_, std::move(early));
+        if (message_->method() == boost::beast::http::verb::head)
+            reader.expect_no_body();
+        auto const broken = co_await reader.read_head();
+        endpoint_answered_ = endpoint_answered_ || reader.got_some();
+        if (endpoint_answered_)
+            context_->reach.on_answer(request_.dispatch_call.service);
+        if (broken)
+            co_return end_after_failure(reader.got_some() ? attempt_end::invalid_answer
+                                                          : attempt_end::lost);
+
+        auto const verdict = Dialect::classify_answer(
+            reader.get_head(), request_.caller_attempt_id, endpoint.name);
+        if (verdict == endpoint_verdict::other_request)
+        {
+            if (!reader.is_framed() || !co_await skip_body(reader))
+                co_return end_after_failure(attempt_end::invalid_answer);
+            early = reader.take_unparsed();
+            continue;
+        }
+        if (verdict == endpoint_verdict::garbled)
+            co_return attempt_end::invalid_answer;
+        if (verdict != endpoint_verdict::another_instance)
+            note_rate_limit(endpoint, reader.get_head());
+
+        auto end = attempt_end::finished;
+        if (verdict == endpoint_verdict::success || verdict == endpoint_verdict::failure)
+        {
+            end = co_await process_answer(reader, verdict == endpoint_verdict::success);
+        }
+        else
+        {
+            // The head says all; the body is read only to use the connection again
+            cancel_attempt_timeout();
+            co_await skip_body(reader);
+            end = Dialect::to_attempt_end(verdict);
+        }
+        if (reader.keep_alive() && connection_->is_open() && !aborted())
+            context_->connections.put_back(entry, std::exchange(connection_, nullptr));
+        co_return end;
+    }
+    co_return attempt_end::invalid_answer;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool> entry_exchange<Dialect>::skip_body(answer_reader& reader)
+{
+    // The time limit of the attempt, if there is one, ends this step too
+    auto const limited = timeout_ && timeout_->armed;
+    if (!limited)
+        start_attempt_timeout(context_->times.skip_timeout);
+    std::string ignored;
+    auto const failed = co_await reader.read_rest(ignored, max_skipped_bytes);
+    if (!limited)
+        cancel_attempt_timeout();
+    co_return !failed;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<attempt_end>
+entry_exchange<Dialect>::process_answer(answer_reader& reader, bool success)
+{
+    if (success && is_stream(request_.dispatch_call.kind))
+        co_return co_await forward_stream(reader);
+
+    cancel_attempt_timeout();
+    held_answer answer{.head = Dialect::caller_head(reader.get_head()), .body = {}};
+    answer_started_ = true;
+    answer_framed_ = reader.is_framed();
+    first_events_at_ = boot_now();
+    context_->dispatch.on_first_event(request_.dispatch_call, current_endpoint_);
+    context_->metrics.shard.latency(first_byte_metric)
+        .record(std::chrono::duration<double>(boot_now() - begin_).count());
+    if (co_await reader.read_rest(answer.body, max_held_bytes))
+        co_return end_after_failure(attempt_end::lost);
+    if (aborted())
+        co_return attempt_end::cancelled;
+    if (!success)
+    {
+        fallback_ = std::move(answer);
+        co_return attempt_end::failed;
+    }
+    co_await deliver(std::move(answer));
+    co_return attempt_end::finished;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<attempt_end>
+entry_exchange<Dialect>::forward_stream(answer_reader& reader)
+{
+    std::string bytes;
+    std::string events;
+    error_code error;
+    answer_framed_ = reader.is_framed();
+    while (!error && (!reader.is_done() || reader.has_buffered_body()))
+    {
+        error = co_await reader.read_some(bytes);
+        if (aborted())
+            co_return attempt_end::cancelled;
+        if (!events_.push(bytes, events))
+            co_return attempt_end::invalid_answer;
+        bytes.clear();
+        if (!events.empty() && !co_await forward_events(reader, events))
+            co_return attempt_end::cancelled;
+        events.clear();
+    }
+    if (error)
+        co_return end_after_failure(attempt_end::lost);
+    if (events_.in_event() || !head_sent_)
+        co_return attempt_end::invalid_answer;
+    if (co_await session_->finish_body())
+        control_->abort(error_kind::caller_gone);
+    concluded_ = true;
+    context_->metrics.count(answers_metric, "kind", "endpoint");
+    co_return attempt_end::finished;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool>
+entry_exchange<Dialect>::forward_events(answer_reader const& reader,
+                                        std::string const& events)
+{
+    auto const now = boot_now();
+    if (!at_peer_)
+        context_->reach.on_answer(request_.dispatch_call.service);
+    if (answer_started_)
+        longest_pause_ = std::max(longest_pause_, now - last_events_at_);
+    last_events_at_ = now;
+    if (!answer_started_)
+    {
+        answer_started_ = true;
+        first_events_at_ = now;
+        context_->dispatch.on_first_event(request_.dispatch_call, current_endpoint_);
+        report_current_usage();
+    }
+    if (!head_sent_)
+    {
+        context_->metrics.shard.latency(first_byte_metric)
+            .record(std::chrono::duration<double>(boot_now() - begin_).count());
+        log_event(event::request_answered, "request", request_.caller_attempt_id,
+                  "first_event_ms", (boot_now() - begin_).count() / 1'000'000);
+        head_sent_ = true;
+        begun_by_peer_ = at_peer_;
+        if (!at_peer_)
+            pin_software_version();
+        auto head = Dialect::caller_head(reader.get_head());
+        head.erase(boost::beast::http::field::content_length);
+        if (session_->accepts_chunks())
+            head.chunked(true);
+        else
+            session_->close_after_answer();
+        if (co_await session_->send_head(std::move(head)))
+            control_->abort(error_kind::caller_gone);
+    }
+    if (!aborted() && co_await session_->write_body(events))
+        control_->abort(error_kind::caller_gone);
+    co_return !aborted();
+}
+
+} // namespace marjorampath::serving
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -363,6 +363,7 @@
 
 #include <serving/entry/entry_node.inl>
 #include <serving/entry/entry_node_crashes.inl>
+#include <serving/entry/entry_node_fleet.inl>
 #include <serving/entry/entry_node_limits.inl>
 #include <serving/entry/entry_node_reach.inl>
 #include <serving/entry/entry_node_streams.inl>
