--- a/serving/node/traffic_worker.cpp
+++ b/serving/node/traffic_worker.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-traffic_worker::traffic_worker(traffic_worker_options options, asio::io_context& control,
-                               grant_service const& service)
+traffic_worker::traffic_worker(traffic_worker_options const& options,
+                               asio::io_context& control, grant_service const& service)
     : work_(loop_.get_executor()), control_(&control),
       context_{.callers = {.loop = loop_,
                            .limits = options.limits,
--- a/serving/node/traffic_worker.hpp
+++ b/serving/node/traffic_worker.hpp
@@ -32,8 +32,8 @@
 public:
     /// Creates a worker without starting its thread. `control` and `service` must outlive
     /// it.
-    traffic_worker(traffic_worker_options options, boost::asio::io_context& control,
-                   grant_service const& service);
+    traffic_worker(traffic_worker_options const& options,
+                   boost::asio::io_context& control, grant_service const& service);
     ~traffic_worker();
     traffic_worker(traffic_worker const&) = delete;
     traffic_worker& operator=(traffic_worker const&) = delete;
