Do not refuse requests to plain services for failures of the past

Cause: the decision compared the deadline with a sum of the expected wait and of penalties for failed and refused attempts. The penalties fall only with successes, and nothing was sent any more. Class: a value that ranks endpoints is used as a time.

The unit test failed before.

Change: the penalties go on to rank the endpoints, the deadline is compared with the wait for a slot alone; the Retry-After is that wait too.

--- a/marjorampath/dispatch/dispatcher_decide.cpp
+++ b/marjorampath/dispatch/dispatcher_decide.cpp
@@ -103,13 +103,14 @@
 {
     // Assume that a request takes a quarter of its objective; the expected wait grows
     // with the running requests per slot
-    for (auto& each : found)
+    auto const expected_wait = [&](endpoint_view const& view)
     {
-        auto const& view = *each.view;
         auto const running = view.in_flight + view.others_in_flight;
         auto const slots = std::max<std::uint32_t>(view.announced.slots, 1);
-        each.expected += request.objective / 4 * running / slots;
-    }
+        return request.objective / 4 * running / slots;
+    };
+    for (auto& each : found)
+        each.expected += expected_wait(*each.view);
     auto const best = std::min_element(found.begin(), found.end(),
                                        [](auto const& left, auto const& right)
                                        {
@@ -117,8 +118,11 @@
                                                       ? left.expected < right.expected
                                                       : left.rank < right.rank;
                                        });
-    if (best->expected > request.deadline - now)
-        return refuse(error_kind::deadline_unreachable, best->expected);
+
+    // What failures and refusals of the past add ranks endpoints; it is no time to wait
+    auto const wait = expected_wait(*best->view);
+    if (wait > request.deadline - now)
+        return refuse(error_kind::deadline_unreachable, wait);
     return {.action = dispatch_action::send,
             .endpoint = best->view->announced.id,
             .expected = best->expected};
