Send nothing more to an endpoint whose answer says that it is leaving

Cause: no code read the field. Class: what an endpoint says of itself is not read, as with Retry-After.

Change: an answer that says so, of the expected instance and process, takes the endpoint out of use the way a draining entry does: no new request, load or order. The catalog remembers the process, so that a listing which still has it as ready, or in which it lapsed before, does not bring it back; a new process begins anew.

Answers to orders, reports and probes are not read for it; hosts do not tell each other.

--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -47,6 +47,30 @@
         note_reading(listed_at, available_since);
 }
 
+std::optional<endpoint_event>
+endpoint_catalog::note_leaving(endpoint_id id, std::uint64_t started_at_ms,
+                               time_point now)
+{
+    auto const found = endpoints_.find(id);
+    if (found == endpoints_.end() || found->second.started_at_ms != started_at_ms ||
+        found->second.draining)
+        return std::nullopt;
+    std::erase_if(leaving_,
+                  [&](auto const& entry)
+                  { return now - entry.second.noted_at > options_.leaving_memory; });
+    leaving_[id] = {.started_at_ms = started_at_ms, .noted_at = now};
+    found->second.draining = true;
+    return endpoint_event{.change = endpoint_change::draining,
+                          .endpoint = found->second};
+}
+
+void endpoint_catalog::apply_leaving(endpoint_announcement& entry) const
+{
+    auto const found = leaving_.find(entry.id);
+    if (found != leaving_.end() && found->second.started_at_ms == entry.started_at_ms)
+        entry.draining = true;
+}
+
 void endpoint_catalog::note_reading(time_point listed_at, time_point available_since)
 {
     auto const outage =
@@ -66,6 +90,7 @@
                                    std::vector<endpoint_event>& events)
 {
     auto const found = endpoints_.find(entry.id);
+    apply_leaving(entry);
     if (found == endpoints_.end())
     {
         events.push_back({.change = endpoint_change::appeared, .endpoint = entry});
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -54,6 +54,8 @@
         /// three missed announcements, 1.2 s apart, so that no entry of a live endpoint
         /// expires in a shorter outage.
         duration outage_threshold = std::chrono::milliseconds(2'400);
+        /// How long a process that said it is leaving is remembered.
+        duration leaving_memory = std::chrono::minutes(10);
     };
 
     /// Constructs an empty catalog.
@@ -73,6 +75,12 @@
     void confirm_listing(time_point listed_at, std::uint64_t revision,
                          time_point available_since);
 
+    /// Notes that the process of an endpoint that started at `started_at_ms` said it is
+    /// leaving. Returns the change, or nothing if the endpoint is unknown, has started
+    /// anew or is draining already. No listing revokes it for that process.
+    std::optional<endpoint_event>
+    note_leaving(endpoint_id id, std::uint64_t started_at_ms, time_point now);
+
     /// Returns the endpoint with this identifier, or null.
     [[nodiscard]] endpoint_announcement const* find(endpoint_id id) const;
 
@@ -110,6 +118,15 @@
     }
 
 private:
+    // A process that said it is leaving
+    struct leaving_process
+    {
+        std::uint64_t started_at_ms = 0;
+        time_point noted_at;
+    };
+
+    // Marks an entry as draining if its process said that it is leaving
+    void apply_leaving(endpoint_announcement& entry) const;
     // Notes that service discovery was read, and whether it had been unavailable before
     void note_reading(time_point listed_at, time_point available_since);
     // Applies one entry of a listing and appends the change to `events`
@@ -117,6 +134,7 @@
 
     options options_;
     std::map<endpoint_id, endpoint_announcement> endpoints_;
+    std::map<endpoint_id, leaving_process> leaving_;
     std::uint64_t revision_ = 0;
     std::uint64_t outages_ = 0;
     std::optional<time_point> listed_at_;
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -107,6 +107,8 @@
                                               std::span<peer_address const>)>
         choose_peer;
     /// Requests a permit for one request to an endpoint that limits its rate, under a
+    /// Takes an endpoint out of use whose answer said that it is leaving.
+    std::function<void(endpoint_announcement const&)> note_leaving;
     /// number of `permit_replies`. Empty if another host was asked, whose reply ends the
     /// wait there, unless a datagram is lost.
     std::function<std::optional<permit_reply>(endpoint_id, std::uint64_t)> request_permit;
--- a/serving/entry/entry_dialect.hpp
+++ b/serving/entry/entry_dialect.hpp
@@ -59,6 +59,10 @@
     {
         Dialect::requested_pause(head)
         } -> std::same_as<named_pause>;
+    // Whether an endpoint's head says that it is leaving
+    {
+        Dialect::is_leaving(head)
+        } -> std::same_as<bool>;
     // Maps a verdict to the end of an attempt whose request was not run
     {
         Dialect::to_attempt_end(verdict)
--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -32,7 +32,11 @@
         if (verdict == endpoint_verdict::garbled)
             co_return attempt_end::invalid_answer;
         if (verdict != endpoint_verdict::another_instance)
+        {
             note_rate_limit(endpoint, reader.get_head());
+            if (Dialect::is_leaving(reader.get_head()))
+                context_->note_leaving(endpoint);
+        }
         if (verdict == endpoint_verdict::refused)
             note_requested_pause(endpoint, reader.get_head());
 
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -231,6 +231,10 @@
     // Applies a listing of the endpoints
     void apply_listing(endpoint_listing listing, std::string_view source);
     // Applies an update of the operator's data
+    // Logs a change of an endpoint and tells all that depend on it
+    void apply_endpoint_change(endpoint_event const& change, std::string_view source);
+    // Takes an endpoint out of use whose answer said that it is leaving
+    void note_leaving(endpoint_announcement const& endpoint);
     void apply_operator_update(operator_update const& update, std::string_view source);
     // Puts a configuration in force
     void apply_configuration(std::shared_ptr<deployment const> const& configuration,
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -92,6 +92,8 @@
         { return report_usage(engine, wants_status); },
         .check_endpoint = [this](endpoint_announcement const& endpoint)
         { check_endpoint(endpoint); },
+        .note_leaving = [this](endpoint_announcement const& endpoint)
+        { note_leaving(endpoint); },
         .choose_peer =
             [this](service_id service, request_id request,
                    std::span<peer_address const> tried)
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -133,7 +133,6 @@
 void entry_node<Platform>::apply_listing(endpoint_listing listing,
                                          std::string_view source)
 {
-    auto const now = boot_now();
     for (auto const& key : listing.ignored)
         log_event(event::store_entry_ignored, "key", key, "revision", listing.revision);
     if (listing.revision >= catalog_.revision())
@@ -147,29 +146,46 @@
         log_event(event::missing_entries_kept, "revision", listing.revision, "source",
                   source, "gap_ms", (listing.listed_at - *previous).count() / 1'000'000);
     for (auto const& change : changes)
-    {
-        auto const& endpoint = change.endpoint;
-        if (change.change != endpoint_change::updated)
-            log_event(change.change == endpoint_change::appeared
-                          ? event::endpoint_appeared
-                          : (change.change == endpoint_change::restarted
-                                 ? event::endpoint_restarted
-                                 : (change.change == endpoint_change::draining
-                                        ? event::endpoint_leaving
-                                        : event::endpoint_lost)),
-                      "endpoint", endpoint.name, "software", endpoint.software_version,
-                      "address", endpoint.address, "port", endpoint.port, "revision",
-                      listing.revision, "source", source);
-        if (change.change == endpoint_change::restarted ||
-            (change.change == endpoint_change::gone && !endpoint.draining))
-            on_endpoint_crash(change);
-        if (change.change == endpoint_change::restarted ||
-            change.change == endpoint_change::gone)
-            context_.forget_rate_limit(endpoint.id);
-        software_.on_endpoint(change, now);
-        context_.dispatch.on_endpoint(change, now);
-        planner_.on_endpoint(change, now);
-    }
+        apply_endpoint_change(change, source);
+    update_engines();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::apply_endpoint_change(endpoint_event const& change,
+                                                 std::string_view source)
+{
+    auto const now = boot_now();
+    auto const& endpoint = change.endpoint;
+    if (change.change != endpoint_change::updated)
+        log_event(change.change == endpoint_change::appeared
+                      ? event::endpoint_appeared
+                      : (change.change == endpoint_change::restarted
+                             ? event::endpoint_restarted
+                             : (change.change == endpoint_change::draining
+                                    ? event::endpoint_leaving
+                                    : event::endpoint_lost)),
+                  "endpoint", endpoint.name, "software", endpoint.software_version,
+                  "address", endpoint.address, "port", endpoint.port, "revision",
+                  catalog_.revision(), "source", source);
+    if (change.change == endpoint_change::restarted ||
+        (change.change == endpoint_change::gone && !endpoint.draining))
+        on_endpoint_crash(change);
+    if (change.change == endpoint_change::restarted ||
+        change.change == endpoint_change::gone)
+        context_.forget_rate_limit(endpoint.id);
+    software_.on_endpoint(change, now);
+    context_.dispatch.on_endpoint(change, now);
+    planner_.on_endpoint(change, now);
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::note_leaving(endpoint_announcement const& endpoint)
+{
+    auto const change =
+        catalog_.note_leaving(endpoint.id, endpoint.started_at_ms, boot_now());
+    if (!change)
+        return;
+    apply_endpoint_change(*change, "answer");
     update_engines();
 }
 
--- a/tests/unit/deployment/deployment_test.cpp
+++ b/tests/unit/deployment/deployment_test.cpp
@@ -74,6 +74,32 @@
     BOOST_TEST(catalog.find(endpoint_id::of("e")));
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_said_it_leaves_stays_leaving_until_its_next_process)
+{
+    endpoint_catalog catalog({});
+    auto const id = endpoint_id::of("e");
+    catalog.apply_listing(at(0s), 10, {announce("e", 10)});
+    auto const event = catalog.note_leaving(id, 1, at(1s));
+    BOOST_REQUIRE(event.has_value());
+    BOOST_TEST((event->change == endpoint_change::draining));
+    BOOST_TEST(event->endpoint.draining);
+    BOOST_TEST(!catalog.note_leaving(id, 1, at(1s)).has_value());
+
+    // A later listing that still has it as ready, and one in which it lapsed before
+    catalog.apply_listing(at(2s), 11, {announce("e", 11)});
+    BOOST_TEST(catalog.find(id)->draining);
+    catalog.apply_listing(at(3s), 12, {});
+    BOOST_TEST(!catalog.find(id));
+    catalog.apply_listing(at(4s), 13, {announce("e", 13)});
+    BOOST_TEST(catalog.find(id)->draining);
+
+    catalog.apply_listing(at(5s), 14, {announce("e", 14, 2)});
+    BOOST_TEST(!catalog.find(id)->draining);
+    // A late answer of the process before
+    BOOST_TEST(!catalog.note_leaving(id, 1, at(6s)).has_value());
+    BOOST_TEST(!catalog.find(id)->draining);
+}
+
 BOOST_AUTO_TEST_CASE(a_listing_that_was_relayed_late_does_not_set_the_age_back)
 {
     endpoint_catalog catalog({});
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -67,6 +67,27 @@
     BOOST_TEST(entry.sends() == 3U);
 }
 
+// An engine that left got requests for as long as the store listed it as ready
+BOOST_AUTO_TEST_CASE(an_endpoint_whose_answer_says_that_it_leaves_gets_no_request)
+{
+    entry_fixture entry({{sealed("first", "Server-Leaving: 1\r\n")}, {sealed("late")}},
+                        {{sealed("second")}});
+    BOOST_TEST(entry.send_request(http::verb::post, "/unsafe/x").ends_with("first"));
+    entry.done = false;
+    BOOST_TEST(entry.send_request(http::verb::post, "/unsafe/x").ends_with("second"));
+    BOOST_TEST(entry.servers[0]->requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_another_instance_says_nothing_of_the_endpoint)
+{
+    entry_fixture entry({{"HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
+                          "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
+                         {sealed("late")}},
+                        {{sealed("second")}});
+    BOOST_TEST(entry.send_request(http::verb::post, "/unsafe/x").ends_with("second"));
+    BOOST_TEST(entry.left.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_safe_request_with_a_cut_answer_is_sent_to_another_endpoint)
 {
     auto cut = sealed("whole");
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -220,6 +220,15 @@
             {.change = endpoint_change::updated, .endpoint = announced}, boot_now());
     }
 
+    // Takes an endpoint out of use, as the node does
+    void note_leaving(endpoint_announcement endpoint)
+    {
+        left.push_back(endpoint.name);
+        endpoint.draining = true;
+        context.dispatch.on_endpoint(
+            {.change = endpoint_change::draining, .endpoint = endpoint}, boot_now());
+    }
+
     // Sends a request and reads until the connection ends; returns what was read
     std::string
     send_request(http::verb method, std::string const& path,
@@ -284,6 +293,8 @@
     // Endpoints that were checked because an answer broke off
     std::vector<std::string> checked;
     std::function<void()> on_check;
+    // Endpoints that said in an answer that they are leaving
+    std::vector<std::string> left;
     // Streams whose answers have ended
     std::vector<stream_id> ended;
     std::optional<std::string> only_software_version;
@@ -329,6 +340,8 @@
             [this](service_id, request_id, std::span<peer_address const> tried)
         {
             return tried.size() < peer_hosts.size()
+        .note_leaving = [this](endpoint_announcement const& endpoint)
+        { note_leaving(endpoint); },
                        ? std::optional<peer_address>(peer_hosts[tried.size()])
                        : std::nullopt;
         },
