Continue streams whose origin no host remembers where engines still keep their prompt

Cause: the record of a stream's software version is lost with the hosts, and a service with two versions tells nothing. Class: what binds work to where it began is kept only where it can be lost.

Change: engines outlive the hosts and keep the prompts that they read. Services of more than 32 engines go on as before.

--- a/marjorampath/deployment/software_history.cpp
+++ b/marjorampath/deployment/software_history.cpp
@@ -1,5 +1,7 @@
 #include <marjorampath/deployment/software_history.hpp>
 
+#include <algorithm>
+
 namespace marjorampath
 {
 
@@ -10,6 +12,7 @@
     auto const found = endpoints_.find(announced.id);
     if (found != endpoints_.end() &&
         (event.change == endpoint_change::gone ||
+         event.change == endpoint_change::restarted ||
          found->second.service != announced.service ||
          found->second.software_version != announced.software_version))
         departed_[{found->second.service, found->second.software_version}] = now;
@@ -53,4 +56,16 @@
     return only;
 }
 
+bool software_history::another_version_ended(service_id service,
+                                             std::string const& version,
+                                             time_point since) const
+{
+    return std::any_of(departed_.begin(), departed_.end(),
+                       [&](auto const& entry)
+                       {
+                           return entry.first.first == service &&
+                                  entry.first.second != version && entry.second >= since;
+                       });
+}
+
 } // namespace marjorampath
--- a/marjorampath/deployment/software_history.hpp
+++ b/marjorampath/deployment/software_history.hpp
@@ -37,6 +37,12 @@
     [[nodiscard]] std::optional<std::string>
     only_version(service_id service, time_point now, wall_milliseconds wall_now) const;
 
+    /// Whether a process of a service's endpoint with another software version has ended
+    /// since a time. Only ends that this host has seen count.
+    [[nodiscard]] bool another_version_ended(service_id service,
+                                             std::string const& version,
+                                             time_point since) const;
+
 private:
     // What is kept of an endpoint's announcement
     struct present_endpoint
@@ -52,7 +58,7 @@
     std::optional<time_point> known_since_;
     // Present endpoints
     std::map<endpoint_id, present_endpoint> endpoints_;
-    // When the last endpoint with a version left, by service and version
+    // When the last process with a version ended, by service and version
     std::map<std::pair<service_id, std::string>, time_point> departed_;
 };
 
--- /dev/null
+++ b/marjorampath/stream_origin/origin_evidence.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/time.hpp>
+#include <marjorampath/deployment/endpoint_announcement.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace marjorampath
+{
+
+class software_history;
+struct stream_question;
+
+/// Settings of the evidence for the origins of streams.
+struct origin_evidence_options
+{
+    /// Age up to which what an engine said that it keeps is used.
+    duration max_listing_age = std::chrono::milliseconds(1'500);
+    /// Least time between two rounds of questions to the engines of a service.
+    duration round_interval = std::chrono::milliseconds(500);
+    /// Time after which a round without all answers has ended.
+    duration round_timeout = std::chrono::milliseconds(700);
+    /// Engines of a service up to which they are asked: each host asks all of them.
+    std::size_t max_engines = 32;
+};
+
+/// Finds the software version that began a stream from the prompt parts that engines
+/// still keep, for use when all hosts that remembered the stream are lost.
+///
+/// The engine that ran a stream keeps the last part of its prompt. So the version is known
+/// if engines of exactly one version keep the part, all engines of other versions said
+/// that they do not, and no process of another version has ended since the stream began.
+class origin_evidence
+{
+public:
+    /// Endpoints by identifier.
+    using endpoint_map = std::map<endpoint_id, endpoint_announcement>;
+
+    /// Constructs without evidence.
+    explicit origin_evidence(origin_evidence_options options) : options_(options) {}
+
+    /// The engines of a service to ask now for the parts that they keep. Empty while a
+    /// round is in progress or was made a moment ago, or if there are too many engines.
+    std::vector<endpoint_id> begin_round(service_id service, endpoint_map const& endpoints,
+                                         time_point now);
+
+    /// Notes the parts that the process of an engine that started at `started_at_ms`
+    /// keeps, as of `asked_at`; without parts that it did not answer.
+    void on_answer(service_id service, endpoint_id engine, std::uint64_t started_at_ms,
+                   std::optional<std::unordered_set<std::uint64_t>> parts,
+                   time_point asked_at);
+
+    /// Whether answers of engines of a service are awaited.
+    [[nodiscard]] bool is_pending(service_id service, time_point now) const;
+
+    /// The software version that began a stream; empty if it is not certain.
+    [[nodiscard]] std::optional<std::string>
+    find_version(stream_question const& question, endpoint_map const& endpoints,
+                 software_history const& history, time_point now) const;
+
+private:
+    // What one process of an engine said
+    struct answer
+    {
+        std::uint64_t started_at_ms = 0;
+        time_point asked_at;
+        std::unordered_set<std::uint64_t> parts;
+    };
+
+    // The last round of questions to a service's engines
+    struct round
+    {
+        time_point begun_at;
+        std::set<endpoint_id> awaited;
+    };
+
+    // An engine's answer that is recent and of its present process, or null
+    [[nodiscard]] answer const* find_answer(endpoint_announcement const& engine,
+                                            time_point now) const;
+    // Removes answers that are too old to be used
+    void forget_old(time_point now);
+
+    origin_evidence_options options_;
+    std::map<endpoint_id, answer> answers_;
+    std::map<service_id, round> rounds_;
+};
+
+} // namespace marjorampath
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -8,6 +8,8 @@
 #include <marjorampath/reachability/reach_monitor.hpp>
 #include <marjorampath/stream_origin/stream_origin.hpp>
 #include <marjorampath/stream_origin/stream_origin_messages.hpp>
+#include <marjorampath/stream_origin/stream_origin_table.hpp>
+#include <marjorampath/stream_origin/stream_question.hpp>
 #include <marjorampath/suspect/part_suspect_registry.hpp>
 #include <marjorampath/suspect/suspect_registry.hpp>
 #include <serving/caller/caller_context.hpp>
@@ -64,6 +66,10 @@
     duration permit_retry_pause = std::chrono::milliseconds(100);
     /// Time to wait for the origin of a stream from other hosts.
     duration origin_timeout = std::chrono::milliseconds(25);
+    /// Time to wait for engines to say what they keep of prompts.
+    duration evidence_timeout = std::chrono::milliseconds(800);
+    /// Age up to which a stream may have begun if its caller does not tell its deadline.
+    duration max_stream_age = stream_origin_options{}.max_stream_age;
 };
 
 /// State that the exchanges of an entry host share.
@@ -101,14 +107,14 @@
     std::function<bool(endpoint_id, bool)> report_usage;
     /// Finds out whether an endpoint whose answer broke off has crashed.
     std::function<void(endpoint_announcement const&)> check_endpoint;
+    /// Takes an endpoint out of use whose answer said that it is leaving.
+    std::function<void(endpoint_announcement const&)> note_leaving;
     /// Chooses a host that reaches a service, for a request that this host cannot send to
     /// an endpoint; hosts in the list could not take it.
     std::function<std::optional<peer_address>(service_id, request_id,
                                               std::span<peer_address const>)>
         choose_peer;
     /// Requests a permit for one request to an endpoint that limits its rate, under a
-    /// Takes an endpoint out of use whose answer said that it is leaving.
-    std::function<void(endpoint_announcement const&)> note_leaving;
     /// number of `permit_replies`. Empty if another host was asked, whose reply ends the
     /// wait there, unless a datagram is lost.
     std::function<std::optional<permit_reply>(endpoint_id, std::uint64_t)> request_permit;
@@ -125,12 +131,16 @@
     /// The software version that began every stream of a service that can still be
     /// continued; empty if there may be several, or if that is not known.
     std::function<std::optional<std::string>(service_id)> only_software_version;
+    /// The software version that began a stream by what engines keep of its prompt.
+    std::function<origin_judgement(stream_question const&)> judge_origin;
     /// Number of hosts that share the retry budgets.
     std::function<std::size_t()> host_count;
     /// Timers of the exchanges that wait for an adapter to be loaded, by `MODEL/ADAPTER`.
     waiting_timers<std::string> adapter_waiters;
     /// Timers of the exchanges that wait for an engine's status.
     waiting_timers<endpoint_id> status_waiters;
+    /// Timers of the exchanges that wait for what engines keep of prompts, by service.
+    waiting_timers<service_id> evidence_waiters;
     /// Replies to requests for permits.
     pending_replies<permit_reply> permit_replies;
     /// Replies to questions for the origins of streams.
@@ -160,6 +170,12 @@
         cancel(status_waiters, engine);
     }
 
+    /// Wakes the exchanges that wait for what the engines of a service keep.
+    void wake(service_id service)
+    {
+        cancel(evidence_waiters, service);
+    }
+
     /// Wakes the exchanges that wait for an adapter.
     void wake(std::string const& adapter)
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -138,6 +138,8 @@
     boost::asio::awaitable<void> find_origin();
     // Asks this host and others for the software version that began a stream
     boost::asio::awaitable<std::optional<std::string>> query_origin();
+    // Asks what engines keep of the prompt for the software version that began the stream
+    boost::asio::awaitable<std::optional<std::string>> judge_origin();
     // Lets only the software version of the current endpoint continue the stream
     void pin_software_version();
     // Makes an attempt; at an endpoint that limits its rate only with a permit, else
--- a/serving/entry/entry_exchange_origin.inl
+++ b/serving/entry/entry_exchange_origin.inl
@@ -15,6 +15,12 @@
         if (required)
             source = "only_version";
     }
+    if (!required && !request_.dispatch_call.parts.empty() && !aborted())
+    {
+        required = co_await judge_origin();
+        if (required)
+            source = "kept_prompt";
+    }
     log_event(event::stream_resumed, "request", request_.caller_attempt_id, "resumes",
               request_.resumed_attempt, "after_event", request_.last_event, "source",
               source, "software", required.value_or(std::string()));
@@ -22,6 +28,28 @@
         co_await conclude_failed(error_kind::no_endpoint, {});
 }
 
+template <entry_dialect Dialect>
+boost::asio::awaitable<std::optional<std::string>> entry_exchange<Dialect>::judge_origin()
+{
+    // The caller's deadline has run since its first attempt
+    auto const& dispatch_call = request_.dispatch_call;
+    auto const elapsed =
+        request_.matched_route->timeout - (dispatch_call.deadline - begin_);
+    stream_question const question{
+        .service = dispatch_call.service,
+        .part = dispatch_call.parts.back().id,
+        .began_after =
+            begin_ - (elapsed > duration{0} ? elapsed : context_->times.max_stream_age)};
+    auto judgement = context_->judge_origin(question);
+    if (judgement.pending && !judgement.software_version)
+    {
+        co_await wait_until_notified(context_->evidence_waiters, question.service,
+                                     context_->times.evidence_timeout);
+        judgement = context_->judge_origin(question);
+    }
+    co_return judgement.software_version;
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<std::optional<std::string>> entry_exchange<Dialect>::query_origin()
 {
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -7,6 +7,7 @@
 #include <marjorampath/peer/relay_choice.hpp>
 #include <marjorampath/peer/relay_failures.hpp>
 #include <marjorampath/stream_origin/open_streams.hpp>
+#include <marjorampath/stream_origin/origin_evidence.hpp>
 #include <marjorampath/stream_origin/stream_origin_table.hpp>
 #include <marjorampath/stream_origin/stream_replicas.hpp>
 #include <serving/caller/caller_listener.hpp>
@@ -328,6 +329,11 @@
     [[nodiscard]] retry_budget_options budget_options() const;
     // Whether this host accepts callers
     [[nodiscard]] bool ready() const;
+    // The software version that began a stream by what engines keep of its prompt; asks
+    // them if that is not known
+    origin_judgement judge_origin(stream_question const& question);
+    // Asks an engine which prompt parts it keeps
+    boost::asio::awaitable<void> read_kept_parts(endpoint_announcement engine);
     // Accepts no further callers; the node finishes when their requests have ended
     void stop_callers();
     // Ends the node once no request of callers or of other hosts is left
@@ -390,6 +396,8 @@
     // Large answers to other hosts that are being sent
     unsigned large_relays_ = 0;
     // Hosts from which the last reads failed
+    // What engines keep of prompts, for streams whose origin no host remembers
+    origin_evidence origin_evidence_;
     relay_failures failed_operator_relays_;
     relay_failures failed_listing_relays_;
     // Revision after which the operator's data is watched; zero to read all of it
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -23,7 +23,7 @@
       engines_(order_connections_, settings_.host), catalog_({}),
       planner_(
           {.takeover_delay = settings_.order_quiet + std::chrono::milliseconds(100)}),
-      stream_origins_(stream_origin_options{}),
+      stream_origins_(stream_origin_options{}), origin_evidence_({}),
       software_(stream_origin_options{}.max_stream_age),
       fleet_(loop_, make_fleet_options(), make_fleet_events())
 {
@@ -116,9 +116,12 @@
         { return find_stream(stream, number); },
         .only_software_version = [this](service_id service)
         { return only_software_version(service); },
+        .judge_origin = [this](stream_question const& question)
+        { return judge_origin(question); },
         .host_count = [this] { return fleet_.peers().responsive_hosts(boot_now()); },
         .adapter_waiters = {},
         .status_waiters = {},
+        .evidence_waiters = {},
         .permit_replies = {},
         .origin_replies = {}};
 }
--- a/serving/entry/entry_node_streams.inl
+++ b/serving/entry/entry_node_streams.inl
@@ -44,6 +44,36 @@
     return software_.only_version(service, now, wall_now());
 }
 
+template <entry_platform Platform>
+origin_judgement entry_node<Platform>::judge_origin(stream_question const& question)
+{
+    auto const now = boot_now();
+    auto const& endpoints = catalog_.endpoints();
+    auto version = origin_evidence_.find_version(question, endpoints, software_, now);
+    if (!version)
+        for (auto const engine :
+             origin_evidence_.begin_round(question.service, endpoints, now))
+            boost::asio::co_spawn(loop_, read_kept_parts(endpoints.at(engine)),
+                                  boost::asio::detached);
+    return {.software_version = std::move(version),
+            .pending = origin_evidence_.is_pending(question.service, now)};
+}
+
+template <entry_platform Platform>
+boost::asio::awaitable<void>
+entry_node<Platform>::read_kept_parts(endpoint_announcement engine)
+{
+    auto const asked_at = boot_now();
+    auto parts = co_await engines_.read_kept_parts(engine);
+    log_event(event::kept_parts_read, "endpoint", engine.name, "parts",
+              parts ? static_cast<std::int64_t>(parts->size()) : -1, "took_ms",
+              (boot_now() - asked_at).count() / 1'000'000);
+    origin_evidence_.on_answer(engine.service, engine.id, engine.started_at_ms,
+                               std::move(parts), asked_at);
+    if (!origin_evidence_.is_pending(engine.service, boot_now()))
+        context_.wake(engine.service);
+}
+
 template <entry_platform Platform>
 stream_origin_reply
 entry_node<Platform>::on_stream_origin_query(stream_origin_query const& query)
--- a/serving/entry/entry_platform.hpp
+++ b/serving/entry/entry_platform.hpp
@@ -9,6 +9,7 @@
 #include <concepts>
 #include <optional>
 #include <string>
+#include <unordered_set>
 
 namespace marjorampath::serving
 {
@@ -26,6 +27,11 @@
     {
         client.read_report(engine)
         } -> std::same_as<boost::asio::awaitable<std::optional<engine_report>>>;
+    // The prompt parts that an engine keeps
+    {
+        client.read_kept_parts(engine)
+        } -> std::same_as<
+            boost::asio::awaitable<std::optional<std::unordered_set<std::uint64_t>>>>;
     // Whether an endpoint, also of a plain service, answers on a new connection
     {
         client.reaches(engine, timeout)
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -170,6 +170,10 @@
                 "`pause_ms`."},
     event_entry{load_asked, info, "load_asked",
                 "The lease holder of an engine was sent a load request for an adapter."},
+    event_entry{kept_parts_read, info, "kept_parts_read",
+                "An engine was asked which prompt parts it keeps, because callers "
+                "continue streams whose origin no host remembers; `parts` is -1 if it "
+                "did not answer."},
     event_entry{
         load_decided, info, "load_decided",
         "This host decided on a load request for an engine whose lease it holds."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -84,6 +84,7 @@
     service_reachable = 516,
     pause_requested = 517,
     load_asked = 520,
+    kept_parts_read = 518,
     load_decided = 521,
     order_given = 522,
     engine_reported = 523,
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -237,6 +237,28 @@
     BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+// Behind the loss of all hosts every continued stream was refused
+BOOST_AUTO_TEST_CASE(a_stream_that_no_host_remembers_goes_on_where_its_prompt_is_kept)
+{
+    entry_fixture entry({}, {{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}});
+    entry.set_software_version(0, "v1");
+    entry.set_software_version(1, "v2");
+    entry.kept_by = "v2";
+    auto const begin = boot_now();
+    auto const answer = entry.send_request(http::verb::post, "/resumable/x",
+                                           {{"Last-Event-Id", "2"},
+                                            {"Resumes", "first"},
+                                            {"X-Model", "m"},
+                                            {"X-Prompt-Prefix", "a1:20,b2:7"}});
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+    BOOST_REQUIRE(entry.questions.size() == 2U);
+    BOOST_TEST(entry.questions[0].part == 0xb2U);
+
+    // The route's timeout is 3 s and the caller has 2 s left
+    BOOST_TEST((entry.questions[0].began_after >= begin - 1s));
+    BOOST_TEST((entry.questions[0].began_after <= begin));
+}
+
 BOOST_AUTO_TEST_CASE(a_safe_request_leaves_a_silent_endpoint_for_another)
 {
     entry_fixture entry({{"", false}}, {{sealed("second")}});
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -298,6 +298,10 @@
     // Streams whose answers have ended
     std::vector<stream_id> ended;
     std::optional<std::string> only_software_version;
+    // Version of the engines that keep the prompt, by the second question; empty if none
+    std::string kept_by;
+    // Questions for the origin of a stream by what engines keep
+    std::vector<stream_question> questions;
     std::array<std::unique_ptr<scripted_server>, 2> servers;
     metrics_registry metrics;
     peer_table peers{{.host = host_id::of("h")}, {}, {}};
@@ -336,12 +340,12 @@
             if (on_check)
                 on_check();
         },
+        .note_leaving = [this](endpoint_announcement const& endpoint)
+        { note_leaving(endpoint); },
         .choose_peer =
             [this](service_id, request_id, std::span<peer_address const> tried)
         {
             return tried.size() < peer_hosts.size()
-        .note_leaving = [this](endpoint_announcement const& endpoint)
-        { note_leaving(endpoint); },
                        ? std::optional<peer_address>(peer_hosts[tried.size()])
                        : std::nullopt;
         },
@@ -360,6 +364,16 @@
         .find_stream = [this](stream_id stream, std::uint64_t number)
         { return find_stream(stream, number); },
         .only_software_version = [this](service_id) { return only_software_version; },
+        .judge_origin =
+            [this](stream_question const& question)
+        {
+            questions.push_back(question);
+            if (questions.size() == 1 && !kept_by.empty())
+                asio::post(loop, [this] { context.wake(service_id::of("s")); });
+            return questions.size() == 1
+                       ? origin_judgement{.pending = !kept_by.empty()}
+                       : origin_judgement{.software_version = kept_by};
+        },
         .host_count = [] { return std::size_t{1}; },
         .adapter_waiters = {}};
     caller_listener listener{context.callers};
--- /dev/null
+++ b/tests/unit/stream_origin/origin_evidence_test.cpp
@@ -0,0 +1,244 @@
+#include <marjorampath/deployment/software_history.hpp>
+#include <marjorampath/stream_origin/origin_evidence.hpp>
+#include <marjorampath/stream_origin/stream_question.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+using namespace marjorampath;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t part = 0xe4402b7d;
+service_id const models = service_id::of("models");
+
+endpoint_id engine(std::uint32_t index)
+{
+    return endpoint_id::of(fmt::format("engine-{}", index));
+}
+
+struct evidence_fixture
+{
+    void start(std::uint32_t index, std::string const& version)
+    {
+        change(index, version, endpoint_change::appeared);
+        endpoints[engine(index)] = announcement(index, version);
+    }
+
+    void end(std::uint32_t index)
+    {
+        change(index, endpoints.at(engine(index)).software_version,
+               endpoint_change::gone);
+        endpoints.erase(engine(index));
+    }
+
+    void answer(std::uint32_t index,
+                std::optional<std::unordered_set<std::uint64_t>> parts)
+    {
+        evidence.on_answer(models, engine(index), 1, std::move(parts), now);
+    }
+
+    [[nodiscard]] std::optional<std::string> find() const
+    {
+        return evidence.find_version(
+            {.service = models, .part = part, .began_after = now - 3s}, endpoints,
+            history, now);
+    }
+
+    time_point now{1'000s};
+    origin_evidence::endpoint_map endpoints;
+    software_history history{30s};
+    origin_evidence evidence{{}};
+
+private:
+    [[nodiscard]] static endpoint_announcement announcement(std::uint32_t index,
+                                                            std::string const& version)
+    {
+        return {.id = engine(index),
+                .started_at_ms = 1,
+                .software_version = version,
+                .service = models};
+    }
+
+    void change(std::uint32_t index, std::string const& version, endpoint_change kind)
+    {
+        history.on_endpoint({.change = kind, .endpoint = announcement(index, version)},
+                            now);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(origin_evidences, evidence_fixture)
+
+BOOST_AUTO_TEST_CASE(the_only_version_that_keeps_the_prompt_began_the_stream)
+{
+    start(0, "v1");
+    start(1, "v1");
+    start(2, "v2");
+    BOOST_TEST((evidence.begin_round(models, endpoints, now).size() == 3U));
+    BOOST_TEST(evidence.is_pending(models, now));
+    answer(0, {{part, 7}});
+    BOOST_TEST(!find());
+
+    // An engine of the same version that does not answer changes nothing
+    answer(2, {{7}});
+    BOOST_TEST(find().value_or("") == "v1");
+    answer(1, std::nullopt);
+    BOOST_TEST(!evidence.is_pending(models, now));
+    BOOST_TEST(find().value_or("") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_certain_where_two_versions_or_none_keep_the_prompt)
+{
+    start(0, "v1");
+    start(1, "v2");
+    answer(0, {{7}});
+    answer(1, {{7}});
+    BOOST_TEST(!find());
+    answer(0, {{part}});
+    answer(1, {{part}});
+    BOOST_TEST(!find());
+    answer(1, std::nullopt);
+    BOOST_TEST(!find());
+}
+
+BOOST_AUTO_TEST_CASE(a_process_of_another_version_that_has_ended_may_have_begun_it)
+{
+    start(0, "v1");
+    start(1, "v2");
+    answer(0, {{part}});
+    end(1);
+    BOOST_TEST(!find());
+    now += 4s;
+    answer(0, {{part}});
+    BOOST_TEST(find().value_or("") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(old_answers_and_those_of_an_earlier_process_do_not_count)
+{
+    start(0, "v1");
+    start(1, "v2");
+    answer(0, {{part}});
+    answer(1, {{7}});
+    now += 2s;
+    BOOST_TEST(!find());
+    answer(0, {{part}});
+    answer(1, {{7}});
+    endpoints[engine(1)].started_at_ms = 2;
+    BOOST_TEST(!find());
+}
+
+BOOST_AUTO_TEST_CASE(engines_are_asked_in_rounds_and_only_in_small_services)
+{
+    start(0, "v1");
+    BOOST_TEST(evidence.begin_round(models, endpoints, now).size() == 1U);
+    BOOST_TEST(evidence.begin_round(models, endpoints, now).empty());
+    answer(0, {{7}});
+    BOOST_TEST(evidence.begin_round(models, endpoints, now + 100ms).empty());
+    BOOST_TEST(evidence.begin_round(models, endpoints, now + 600ms).size() == 1U);
+
+    // A round that gets no answer ends
+    BOOST_TEST(!evidence.is_pending(models, now + 1'400ms));
+    for (std::uint32_t index = 1; index < 40; ++index)
+        start(index, "v1");
+    BOOST_TEST(evidence.begin_round(models, endpoints, now + 9s).empty());
+}
+
+// Engines of two or three versions run streams of sessions and single requests, are
+// replaced and start again; then all hosts are lost and know only what engines keep
+BOOST_AUTO_TEST_CASE(no_stream_is_joined_from_two_versions_after_the_loss_of_all_hosts)
+{
+    struct machine
+    {
+        std::string version;
+        std::unordered_set<std::uint64_t> parts;
+    };
+    std::size_t asked = 0;
+    std::size_t found = 0;
+    for (std::uint32_t seed = 1; seed <= 10'000; ++seed)
+    {
+        std::minstd_rand random(seed);
+        auto const draw = [&](std::uint32_t below)
+        { return static_cast<std::uint32_t>(random() % below); };
+        std::vector<machine> machines(4 + draw(12));
+        auto const versions = 2 + draw(2);
+        for (auto& each : machines)
+            each.version = fmt::format("v{}", draw(versions));
+
+        // The last stream of a session ran at the engine of `origins`; earlier ones may
+        // have run elsewhere
+        std::map<std::uint64_t, std::string> origins;
+        for (std::uint64_t stream = 1; stream <= 30; ++stream)
+        {
+            auto const earlier = draw(4) == 0 ? draw(3) : 0;
+            for (std::uint32_t run = 0; run < earlier; ++run)
+                machines[draw(static_cast<std::uint32_t>(machines.size()))].parts.insert(
+                    stream);
+            auto& last = machines[draw(static_cast<std::uint32_t>(machines.size()))];
+            last.parts.insert(stream);
+            origins[stream] = last.version;
+        }
+
+        // A host starts and lists the engines; some end while it asks them
+        software_history history(30s);
+        origin_evidence evidence({});
+        origin_evidence::endpoint_map endpoints;
+        time_point const now{1'000s};
+        auto const announced = [&](std::uint32_t index)
+        {
+            return endpoint_announcement{.id = engine(index),
+                                         .started_at_ms = 1,
+                                         .software_version = machines[index].version,
+                                         .service = models};
+        };
+        for (std::uint32_t index = 0; index < machines.size(); ++index)
+        {
+            endpoints[engine(index)] = announced(index);
+            history.on_endpoint(
+                {.change = endpoint_change::appeared, .endpoint = announced(index)}, now);
+        }
+        auto const calm = seed % 2 == 0;
+        for (std::uint32_t index = 0; index < machines.size(); ++index)
+        {
+            if (!calm && draw(12) == 0)
+            {
+                // It ends before it answers
+                history.on_endpoint(
+                    {.change = endpoint_change::gone, .endpoint = announced(index)},
+                    now + 100ms);
+                endpoints.erase(engine(index));
+                continue;
+            }
+            if (calm || draw(20) != 0)
+                evidence.on_answer(models, engine(index), 1, machines[index].parts, now);
+        }
+        for (auto const& [stream, origin] : origins)
+        {
+            auto const version =
+                evidence.find_version({.service = models,
+                                       .part = stream,
+                                       .began_after = now - 2s},
+                                      endpoints, history, now + 200ms);
+            asked += calm ? 1U : 0U;
+            found += calm && version ? 1U : 0U;
+            BOOST_REQUIRE_MESSAGE(!version || *version == origin,
+                                  "seed " << seed << " stream " << stream);
+        }
+    }
+    // The users' rule wants half where engines of the right version are there
+    BOOST_TEST_MESSAGE(found << " of " << asked << " streams go on");
+    BOOST_TEST(found * 2 >= asked);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
