Count lost hosts among those that share the retry budget; start without the extra repeats

Cause: each host divides the extra repeats by the hosts that answer. A process that has just started knows none and used the extra repeats of the whole fleet; the others' parts grew with each host that was gone or only silent, though what it had used still counts in the window. Class: a share of a limit grows when the view of the fleet shrinks.

Change: all hosts heard within 20 s count, silent and gone ones too; a process uses no extra repeats in its first two seconds.

Result: hosts_that_restart_in_turn_stay_within_the_retry_budget and silent_and_gone_hosts_share_the_limits_until_they_are_removed pass.

--- a/marjorampath/dispatch/retry_budget.cpp
+++ b/marjorampath/dispatch/retry_budget.cpp
@@ -33,8 +33,10 @@
         requests += each.requests;
         repeats += each.repeats;
     }
-    auto const share = options_.extra_repeats_per_window /
-                       static_cast<double>(std::max<std::size_t>(hosts, 1));
+    auto const share = now - started_at_ < options_.settling_time
+                           ? 0
+                           : options_.extra_repeats_per_window /
+                                 static_cast<double>(std::max<std::size_t>(hosts, 1));
     if (repeats + 1 > options_.used_fraction * (options_.ratio * requests + share))
         return false;
     ++present.repeats;
--- a/marjorampath/dispatch/retry_budget.hpp
+++ b/marjorampath/dispatch/retry_budget.hpp
@@ -21,6 +21,9 @@
     /// Fraction of the limit that is used; the rest absorbs differences between the
     /// windows of the hosts.
     double used_fraction = 0.8;
+    /// Time after the start of the process without extra repeats: it does not know yet
+    /// how many hosts share them.
+    duration settling_time = std::chrono::seconds(2);
 };
 
 /// One host's share of the limit on repeated attempts at one service.
@@ -31,14 +34,18 @@
 class retry_budget
 {
 public:
-    /// Constructs a budget with an empty window.
-    explicit retry_budget(retry_budget_options options) : options_(options) {}
+    /// Constructs a budget with an empty window, in a process that started at a time.
+    retry_budget(retry_budget_options options, time_point started_at)
+        : options_(options), started_at_(started_at)
+    {
+    }
 
     /// Counts a caller's request.
     void on_request(time_point now);
 
     /// Counts one more repeat and returns true, or returns false if the limit is
-    /// reached. `hosts` is the number of hosts that share the limit.
+    /// reached. `hosts` is the number of hosts that share the limit, with those that were
+    /// lost within a window: what they used still counts.
     bool take(time_point now, std::size_t hosts);
 
     /// Replaces the limits; the counts are kept.
@@ -64,6 +71,7 @@
     bucket& current(time_point now);
 
     retry_budget_options options_;
+    time_point started_at_;
     // Ring of the window's buckets and the current one
     std::array<bucket, buckets_per_window + 1> buckets_{};
 };
--- a/marjorampath/peer/peer_table.hpp
+++ b/marjorampath/peer/peer_table.hpp
@@ -106,6 +106,14 @@
     void leave() noexcept
     {
         self_.leaving = true;
+    /// Number of hosts that share the fleet's limits: this one and all others that sent a
+    /// heartbeat within `removal_delay`. Silent ones may only be cut off, and what lost
+    /// ones used still counts.
+    [[nodiscard]] std::size_t sharing_hosts() const noexcept
+    {
+        return 1 + peers_.size();
+    }
+
     }
 
 private:
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -441,3 +441,5 @@
 #include <serving/entry/entry_node_relay.inl>
 #include <serving/entry/entry_node_streams.inl>
 #include <serving/entry/entry_node_view.inl>
+    // When the process started
+    time_point const started_at_ = boot_now();
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -118,7 +118,7 @@
         { return only_software_version(service); },
         .judge_origin = [this](stream_question const& question)
         { return judge_origin(question); },
-        .host_count = [this] { return fleet_.peers().responsive_hosts(boot_now()); },
+        .host_count = [this] { return fleet_.peers().sharing_hosts(); },
         .adapter_waiters = {},
         .status_waiters = {},
         .evidence_waiters = {},
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -121,7 +121,7 @@
     limits.idle_timeout = configuration->bounds.idle_timeout;
     forward_context_.limits = forward_limits();
     for (auto const& service : configuration->services)
-        context_.budgets.try_emplace(service.id, budget_options());
+        context_.budgets.try_emplace(service.id, budget_options(), started_at_);
     update_engines();
 
     // Hosts that do not read the store learn at once that there is a newer configuration
--- a/tests/unit/dispatch/dispatcher_test.cpp
+++ b/tests/unit/dispatch/dispatcher_test.cpp
@@ -335,7 +335,8 @@
     constexpr double extra = 52;
     std::vector<retry_budget> budgets(
         hosts,
-        retry_budget({.ratio = ratio, .window = 10s, .extra_repeats_per_window = extra}));
+        retry_budget({.ratio = ratio, .window = 10s, .extra_repeats_per_window = extra},
+                     time_point{}));
 
     // Each request fails and needs three repeats, on hosts of very uneven load
     int requests = 0;
@@ -353,6 +354,41 @@
     BOOST_TEST(repeats > ratio * requests / 2);
 }
 
+// Each new process knew no other host and used the extra repeats of the whole fleet
+BOOST_AUTO_TEST_CASE(hosts_that_restart_in_turn_stay_within_the_retry_budget)
+{
+    constexpr std::size_t hosts = 58;
+    constexpr double extra = 156;
+    retry_budget_options const options{
+        .ratio = 0.2, .window = 10s, .extra_repeats_per_window = extra};
+    std::vector<retry_budget> budgets(hosts, retry_budget(options, time_point{}));
+    std::vector<time_point> started(hosts);
+
+    // A host restarts each 400 ms and learns of the others within 1.5 s; everything that
+    // is sent is refused
+    int requests = 0;
+    int repeats = 0;
+    for (int step = 0; step < 1'000; ++step, now += 10ms)
+    {
+        if (step % 40 == 0)
+        {
+            auto const host = static_cast<std::size_t>(step / 40);
+            started[host] = now;
+            budgets[host] = retry_budget(options, now);
+        }
+        for (int each = 0; each < 5; ++each)
+        {
+            auto const host = static_cast<std::size_t>(step * 5 + each) % hosts;
+            auto const known = now - started[host] < 1'500ms ? 1 : hosts;
+            budgets[host].on_request(now);
+            ++requests;
+            for (int again = 0; again < 3; ++again)
+                repeats += budgets[host].take(now, known) ? 1 : 0;
+        }
+    }
+    BOOST_TEST(repeats <= 0.2 * requests + extra);
+}
+
 BOOST_AUTO_TEST_CASE(each_complete_event_is_output_once)
 {
     event_splitter events({});
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -173,7 +173,7 @@
         add("/resumable/", call_kind::continuable_stream);
         routes->services.push_back({.id = service_id::of("s"), .name = "s"});
         context.routes = std::make_shared<route_table const>(routes);
-        context.budgets.emplace(service_id::of("s"), retry_budget({}));
+        context.budgets.emplace(service_id::of("s"), retry_budget({}, {}));
         for (std::size_t index = 0; index < servers.size(); ++index)
         {
             // The first one is preferred because it is in the host's zone
--- a/tests/unit/peer/peer_test.cpp
+++ b/tests/unit/peer/peer_test.cpp
@@ -321,6 +321,24 @@
     BOOST_TEST(!here.peers.peers().at(host_of(1)).last_heartbeat.leaving);
 }
 
+// The others' parts of fleet-wide limits grew while hosts only seemed to be silent
+BOOST_AUTO_TEST_CASE(silent_and_gone_hosts_share_the_limits_until_they_are_removed)
+{
+    peer_table table({.host = host_of(0)}, {}, {});
+    time_point const now(1'000s);
+    for (std::uint32_t index = 1; index <= 5; ++index)
+        table.on_heartbeat({.host = host_of(index),
+                            .incarnation = 1,
+                            .address = address_of(index),
+                            .gone = index == 5},
+                           now);
+    table.on_tick(now + 9s);
+    BOOST_TEST(table.responsive_hosts(now + 9s) == 1U);
+    BOOST_TEST(table.sharing_hosts() == 6U);
+    table.on_tick(now + 21s);
+    BOOST_TEST(table.sharing_hosts() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_clock_that_went_back_does_not_hide_a_restarted_host)
 {
     host_machine here(0, 50);
