--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -47,21 +47,19 @@
         note_reading(listed_at, available_since);
 }
 
-std::optional<endpoint_event>
-endpoint_catalog::note_leaving(endpoint_id id, std::uint64_t started_at_ms,
-                               time_point now)
+std::optional<endpoint_event> endpoint_catalog::note_leaving(endpoint_id id,
+                                                             std::uint64_t started_at_ms,
+                                                             time_point now)
 {
     auto const found = endpoints_.find(id);
     if (found == endpoints_.end() || found->second.started_at_ms != started_at_ms ||
         found->second.draining)
         return std::nullopt;
-    std::erase_if(leaving_,
-                  [&](auto const& entry)
+    std::erase_if(leaving_, [&](auto const& entry)
                   { return now - entry.second.noted_at > options_.leaving_memory; });
     leaving_[id] = {.started_at_ms = started_at_ms, .noted_at = now};
     found->second.draining = true;
-    return endpoint_event{.change = endpoint_change::draining,
-                          .endpoint = found->second};
+    return endpoint_event{.change = endpoint_change::draining, .endpoint = found->second};
 }
 
 void endpoint_catalog::apply_leaving(endpoint_announcement& entry) const
--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -92,7 +92,8 @@
 {
     auto const found = endpoints_.find(status.endpoint);
     if (found == endpoints_.end() ||
-        found->second.announced.started_at_ms != status.started_at_ms)
+        found->second.announced.started_at_ms != status.started_at_ms ||
+        now < found->second.last_status_at)
         return;
     auto& view = found->second;
     view.last_status_at = now;
--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/peer/endpoint_usage.hpp>
 #include <marjorampath/peer/engine_status.hpp>
+#include <marjorampath/peer/relayed_heartbeat.hpp>
 #include <marjorampath/rate_limit/rate_limit_notice.hpp>
 #include <marjorampath/suspect/conviction.hpp>
 #include <marjorampath/suspect/part_report.hpp>
@@ -78,6 +79,16 @@
     std::vector<part_report> parts;
     /// Services of which the sender reaches no endpoint.
     std::vector<service_id> unreached_services;
+    /// Whether the sender passes heartbeats on and gets them so; builds before groups of
+    /// hosts do not.
+    bool passes_on = false;
+    /// Number of the heartbeat in its process, from one; zero from builds that do not
+    /// number them.
+    std::uint64_t sequence = 0;
+    /// Whether the receiver should pass it on to its own group.
+    bool to_pass_on = false;
+    /// Heartbeats of other groups' hosts that the sender passes on.
+    std::vector<relayed_heartbeat> relayed;
 };
 
 } // namespace marjorampath
--- a/marjorampath/peer/peer_table.cpp
+++ b/marjorampath/peer/peer_table.cpp
@@ -1,3 +1,4 @@
+#include <marjorampath/peer/heartbeat_groups.hpp>
 #include <marjorampath/peer/peer_table.hpp>
 
 #include <algorithm>
@@ -6,6 +7,19 @@
 namespace marjorampath
 {
 
+namespace
+{
+
+// Whether a heartbeat was sent before the last one that is known of the same host
+bool is_older(peer_heartbeat const& heartbeat, peer_heartbeat const& last)
+{
+    if (heartbeat.incarnation != last.incarnation)
+        return heartbeat.incarnation < last.incarnation;
+    return heartbeat.sequence != 0 && heartbeat.sequence <= last.sequence;
+}
+
+} // namespace
+
 peer_table::peer_table(peer_heartbeat self, std::vector<peer_address> const& seeds,
                        peer_table_options options)
     : self_(std::move(self)), options_(options)
@@ -15,22 +29,44 @@
             addresses_.emplace(seed, time_point::max());
 }
 
-duration peer_table::heartbeat_interval() const
+duration peer_table::direct_interval() const
 {
     auto const hosts = std::max(peers_.size(), options_.max_hosts_at_full_rate);
     return options_.heartbeat_interval * static_cast<std::int64_t>(hosts) /
            static_cast<std::int64_t>(options_.max_hosts_at_full_rate);
 }
 
-duration peer_table::silence_timeout() const
+duration peer_table::heartbeat_interval() const
+{
+    if (!uses_groups())
+        return direct_interval();
+    auto const members = heartbeat_group_size(grouped_hosts_);
+    auto const targets = members + grouped_hosts_ / members;
+    return std::max<duration>(
+        options_.heartbeat_interval,
+        duration(std::chrono::seconds(1)) * static_cast<std::int64_t>(targets) /
+            static_cast<std::int64_t>(options_.group_heartbeats_per_second));
+}
+
+duration peer_table::silence_timeout(peer const& known) const
+{
+    if (!known.last_heartbeat.passes_on || !uses_groups())
+        return direct_interval() * options_.max_missed_heartbeats;
+    return heartbeat_interval() * options_.max_missed_group_heartbeats;
+}
+
+void peer_table::count_grouped_hosts()
 {
-    return heartbeat_interval() * options_.max_missed_heartbeats;
+    grouped_hosts_ =
+        1 + static_cast<std::size_t>(std::count_if(
+                peers_.begin(), peers_.end(),
+                [](auto const& entry) { return entry.second.last_heartbeat.passes_on; }));
 }
 
-peer_change peer_table::on_heartbeat(peer_heartbeat heartbeat, time_point now)
+peer_change peer_table::on_heartbeat(peer_heartbeat heartbeat, time_point received_at)
 {
     if (heartbeat.host == self_.host)
-        return peer_change::none;
+        return peer_change::ignored;
 
     // Another host may remember an earlier process of this host whose clock was ahead
     auto knows_this_host = false;
@@ -44,16 +80,16 @@
         }
         else if (mention.address != self_.address)
         {
-            addresses_.try_emplace(mention.address, now + options_.removal_delay);
+            addresses_.try_emplace(mention.address, received_at + options_.removal_delay);
             if (!peers_.contains(mention.host))
-                mentioned_hosts_[mention.host] = {mention, now + options_.removal_delay};
+                mentioned_hosts_[mention.host] = {mention,
+                                                  received_at + options_.removal_delay};
         }
     }
 
     auto const found = peers_.find(heartbeat.host);
-    if (found != peers_.end() &&
-        heartbeat.incarnation < found->second.last_heartbeat.incarnation)
-        return peer_change::none;
+    if (found != peers_.end() && is_older(heartbeat, found->second.last_heartbeat))
+        return peer_change::ignored;
     auto change = peer_change::none;
     if (found == peers_.end() || reported_silent_.contains(heartbeat.host))
         change = peer_change::appeared;
@@ -70,8 +106,14 @@
     auto const same_process = known.last_heartbeat.incarnation == heartbeat.incarnation;
     known.incarnations_exchanged =
         knows_this_host || (known.incarnations_exchanged && same_process);
-    known.last_heartbeat_at = now;
+    known.last_heartbeat_at = std::max(known.last_heartbeat_at, received_at);
+    auto const regrouped = known.last_heartbeat.passes_on != heartbeat.passes_on;
+    if (known.last_heartbeat.address != heartbeat.address)
+        hosts_by_address_.erase(known.last_heartbeat.address);
+    hosts_by_address_[heartbeat.address] = heartbeat.host;
     known.last_heartbeat = std::move(heartbeat);
+    if (regrouped)
+        count_grouped_hosts();
     return change;
 }
 
@@ -80,12 +122,18 @@
     std::vector<host_id> lost;
     for (auto const& [id, known] : peers_)
         if (!known.last_heartbeat.gone &&
-            now - known.last_heartbeat_at > silence_timeout() &&
+            now - known.last_heartbeat_at > silence_timeout(known) &&
             reported_silent_.insert(id).second)
             lost.push_back(id);
-    std::erase_if(
+    auto const removed = std::erase_if(
         peers_, [&](auto const& entry)
         { return now - entry.second.last_heartbeat_at > options_.removal_delay; });
+    if (removed > 0)
+    {
+        std::erase_if(hosts_by_address_,
+                      [&](auto const& entry) { return !peers_.contains(entry.second); });
+        count_grouped_hosts();
+    }
     std::erase_if(reported_silent_, [&](host_id host) { return !peers_.contains(host); });
     std::erase_if(mentioned_hosts_,
                   [&](auto const& entry) { return entry.second.second < now; });
@@ -95,25 +143,29 @@
 
 std::optional<host_id> peer_table::host_at(peer_address const& address) const
 {
-    for (auto const& [id, known] : peers_)
-        if (known.last_heartbeat.address == address)
-            return id;
-    return std::nullopt;
+    auto const found = hosts_by_address_.find(address);
+    return found == hosts_by_address_.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::vector<peer_address> peer_table::targets(time_point now) const
+std::vector<peer_address> peer_table::unknown_addresses() const
 {
     std::vector<peer_address> found;
+    for (auto const& [address, until] : addresses_)
+        if (!hosts_by_address_.contains(address))
+            found.push_back(address);
+    return found;
+}
+
+std::vector<peer_address> peer_table::targets(time_point now) const
+{
+    auto found = unknown_addresses();
     for (auto const& [id, known] : peers_)
         if (now - known.last_heartbeat_at <= options_.removal_delay)
             found.push_back(known.last_heartbeat.address);
-    for (auto const& [address, until] : addresses_)
-        if (!host_at(address))
-            found.push_back(address);
     return found;
 }
 
-std::vector<peer_mention> peer_table::mentions(host_id to)
+std::vector<peer_mention> peer_table::mentions(host_id to, bool introduced)
 {
     std::vector<peer_mention> found;
     auto const mention = [&](std::map<host_id, peer>::const_iterator each)
@@ -125,7 +177,8 @@
     };
     if (auto const receiver = peers_.find(to); receiver != peers_.end())
         mention(receiver);
-    auto const mention_count = std::min(options_.mentions, peers_.size());
+    auto const mention_count = std::min(
+        introduced ? options_.introduction_mentions : options_.mentions, peers_.size());
     for (std::size_t index = 0; index < mention_count; ++index)
     {
         auto next = peers_.upper_bound(last_mentioned_);
@@ -165,7 +218,7 @@
 {
     auto const found = peers_.find(host);
     return found != peers_.end() && !found->second.last_heartbeat.gone &&
-           now - found->second.last_heartbeat_at <= silence_timeout();
+           now - found->second.last_heartbeat_at <= silence_timeout(found->second);
 }
 
 std::vector<known_host> peer_table::known_hosts(time_point now) const
@@ -186,7 +239,7 @@
         auto state = host_state::alive;
         if (known.last_heartbeat.gone)
             state = host_state::dead;
-        else if (now - known.last_heartbeat_at > silence_timeout())
+        else if (now - known.last_heartbeat_at > silence_timeout(known))
             state = host_state::suspect;
         else if (known.last_heartbeat.leaving)
             state = host_state::leaving;
--- a/marjorampath/peer/peer_table.hpp
+++ b/marjorampath/peer/peer_table.hpp
@@ -32,6 +32,8 @@
 {
     /// No change.
     none,
+    /// The heartbeat is older than the last one and was ignored.
+    ignored,
     /// It is new, or its heartbeats resumed.
     appeared,
     /// Its process restarted.
@@ -51,8 +53,9 @@
     peer_table(peer_heartbeat self, std::vector<peer_address> const& seeds,
                peer_table_options options);
 
-    /// Processes a heartbeat; returns the change of its sender.
-    peer_change on_heartbeat(peer_heartbeat heartbeat, time_point now);
+    /// Processes a heartbeat that a host received from its sender at a time; returns the
+    /// change of its sender.
+    peer_change on_heartbeat(peer_heartbeat heartbeat, time_point received_at);
 
     /// Removes hosts that have been silent for `removal_delay`; returns the hosts that
     /// have just become silent.
@@ -63,11 +66,27 @@
     /// arrived yet.
     [[nodiscard]] std::vector<peer_address> targets(time_point now) const;
 
+    /// Seed and mentioned addresses from which no heartbeat has arrived yet.
+    [[nodiscard]] std::vector<peer_address> unknown_addresses() const;
+
+    /// Number of hosts whose builds pass heartbeats on, including this one.
+    [[nodiscard]] std::size_t grouped_hosts() const noexcept
+    {
+        return grouped_hosts_;
+    }
+
+    /// Whether the fleet is so large that heartbeats are sent to groups of hosts.
+    [[nodiscard]] bool uses_groups() const noexcept
+    {
+        return grouped_hosts_ > options_.max_hosts_at_full_rate + 1;
+    }
+
     /// Hosts to mention in a heartbeat to `to`: the receiver, so that it learns which
     /// incarnation of it this host knows, and a few others in rotation, so that the size
     /// of heartbeats does not depend on the size of the fleet. `to` is empty for an
-    /// address from which no heartbeat has arrived yet.
-    [[nodiscard]] std::vector<peer_mention> mentions(host_id to);
+    /// address from which no heartbeat has arrived yet. A receiver that has just started
+    /// gets more of them.
+    [[nodiscard]] std::vector<peer_mention> mentions(host_id to, bool introduced = false);
 
     /// Whether this host is one of the hosts of its zone that read the configuration
     /// store themselves; the others get its contents from them.
@@ -87,6 +106,14 @@
     /// Number of hosts that are neither silent nor gone, including this one.
     [[nodiscard]] std::size_t responsive_hosts(time_point now) const;
 
+    /// Number of hosts that share the fleet's limits: this one and all others that sent a
+    /// heartbeat within `removal_delay`. Silent ones may only be cut off, and what lost
+    /// ones used still counts.
+    [[nodiscard]] std::size_t sharing_hosts() const noexcept
+    {
+        return 1 + peers_.size();
+    }
+
     /// Whether another host is known, not silent and not gone.
     [[nodiscard]] bool is_responsive(host_id host, time_point now) const;
 
@@ -106,19 +133,15 @@
     void leave() noexcept
     {
         self_.leaving = true;
-    /// Number of hosts that share the fleet's limits: this one and all others that sent a
-    /// heartbeat within `removal_delay`. Silent ones may only be cut off, and what lost
-    /// ones used still counts.
-    [[nodiscard]] std::size_t sharing_hosts() const noexcept
-    {
-        return 1 + peers_.size();
-    }
-
     }
 
 private:
+    // Time between two heartbeats of hosts that send them to every other host
+    [[nodiscard]] duration direct_interval() const;
     // Time without a heartbeat after which a host counts as silent
-    [[nodiscard]] duration silence_timeout() const;
+    [[nodiscard]] duration silence_timeout(peer const& known) const;
+    // Counts again the hosts that pass heartbeats on
+    void count_grouped_hosts();
 
     // This host
     peer_heartbeat self_;
@@ -128,6 +151,10 @@
     peer_table_options options_;
     // Other hosts that sent a heartbeat
     std::map<host_id, peer> peers_;
+    // Host at each address that heartbeats named
+    std::map<peer_address, host_id> hosts_by_address_;
+    // Hosts that pass heartbeats on, including this one
+    std::size_t grouped_hosts_ = 1;
     // Hosts that were mentioned but sent no heartbeat yet, and when they are removed
     std::map<host_id, std::pair<peer_mention, time_point>> mentioned_hosts_;
     // Host that was mentioned last in the rotation
--- a/marjorampath/stream_origin/origin_evidence.cpp
+++ b/marjorampath/stream_origin/origin_evidence.cpp
@@ -7,9 +7,9 @@
 namespace marjorampath
 {
 
-std::vector<endpoint_id>
-origin_evidence::begin_round(service_id service, endpoint_map const& endpoints,
-                             time_point now)
+std::vector<endpoint_id> origin_evidence::begin_round(service_id service,
+                                                      endpoint_map const& endpoints,
+                                                      time_point now)
 {
     auto const last = rounds_.find(service);
     if (last != rounds_.end() && (is_pending(service, now) ||
@@ -45,10 +45,10 @@
            now - found->second.begun_at < options_.round_timeout;
 }
 
-std::optional<std::string>
-origin_evidence::find_version(stream_question const& question,
-                              endpoint_map const& endpoints,
-                              software_history const& history, time_point now) const
+std::optional<std::string> origin_evidence::find_version(stream_question const& question,
+                                                         endpoint_map const& endpoints,
+                                                         software_history const& history,
+                                                         time_point now) const
 {
     std::set<std::string> keeping;
     std::set<std::string> unanswered;
@@ -66,8 +66,8 @@
         return std::nullopt;
     auto const& version = *keeping.begin();
     unanswered.erase(version);
-    if (!unanswered.empty() || history.another_version_ended(question.service, version,
-                                                             question.began_after))
+    if (!unanswered.empty() ||
+        history.another_version_ended(question.service, version, question.began_after))
         return std::nullopt;
     return version;
 }
@@ -76,8 +76,7 @@
 origin_evidence::find_answer(endpoint_announcement const& engine, time_point now) const
 {
     auto const found = answers_.find(engine.id);
-    if (found == answers_.end() ||
-        found->second.started_at_ms != engine.started_at_ms ||
+    if (found == answers_.end() || found->second.started_at_ms != engine.started_at_ms ||
         now - found->second.asked_at > options_.max_listing_age)
         return nullptr;
     return &found->second;
@@ -85,10 +84,8 @@
 
 void origin_evidence::forget_old(time_point now)
 {
-    std::erase_if(answers_,
-                  [&](auto const& entry) {
-                      return now - entry.second.asked_at > options_.max_listing_age;
-                  });
+    std::erase_if(answers_, [&](auto const& entry)
+                  { return now - entry.second.asked_at > options_.max_listing_age; });
 }
 
 } // namespace marjorampath
--- a/marjorampath/stream_origin/origin_evidence.hpp
+++ b/marjorampath/stream_origin/origin_evidence.hpp
@@ -35,9 +35,10 @@
 /// Finds the software version that began a stream from the prompt parts that engines
 /// still keep, for use when all hosts that remembered the stream are lost.
 ///
-/// The engine that ran a stream keeps the last part of its prompt. So the version is known
-/// if engines of exactly one version keep the part, all engines of other versions said
-/// that they do not, and no process of another version has ended since the stream began.
+/// The engine that ran a stream keeps the last part of its prompt. So the version is
+/// known if engines of exactly one version keep the part, all engines of other versions
+/// said that they do not, and no process of another version has ended since the stream
+/// began.
 class origin_evidence
 {
 public:
@@ -49,8 +50,8 @@
 
     /// The engines of a service to ask now for the parts that they keep. Empty while a
     /// round is in progress or was made a moment ago, or if there are too many engines.
-    std::vector<endpoint_id> begin_round(service_id service, endpoint_map const& endpoints,
-                                         time_point now);
+    std::vector<endpoint_id> begin_round(service_id service,
+                                         endpoint_map const& endpoints, time_point now);
 
     /// Notes the parts that the process of an engine that started at `started_at_ms`
     /// keeps, as of `asked_at`; without parts that it did not answer.
@@ -62,9 +63,10 @@
     [[nodiscard]] bool is_pending(service_id service, time_point now) const;
 
     /// The software version that began a stream; empty if it is not certain.
-    [[nodiscard]] std::optional<std::string>
-    find_version(stream_question const& question, endpoint_map const& endpoints,
-                 software_history const& history, time_point now) const;
+    [[nodiscard]] std::optional<std::string> find_version(stream_question const& question,
+                                                          endpoint_map const& endpoints,
+                                                          software_history const& history,
+                                                          time_point now) const;
 
 private:
     // What one process of an engine said
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -100,6 +100,12 @@
   soundAge @3 :Int64;
 }
 
+struct RelayedBeat {
+  # A PeerMessage with a beat, as it was received.
+  message @0 :Data;
+  age @1 :Int64;
+}
+
 struct PeerBeat {
   host @0 :UInt64;
   zone @1 :UInt64;
@@ -118,6 +124,10 @@
   rateLimits @14 :List(RateLimit);
   parts @15 :List(PartReport);
   unreachedServices @16 :List(UInt64);
+  passesOn @17 :Bool;
+  sequence @18 :UInt64;
+  toPassOn @19 :Bool;
+  relayed @20 :List(RelayedBeat);
 }
 
 struct LoadRequest {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -34,6 +34,7 @@
 CAPNP_DECLARE_SCHEMA(dc4baf79047496ac);
 CAPNP_DECLARE_SCHEMA(a972d0aa9c6a8f01);
 CAPNP_DECLARE_SCHEMA(f9c0ec2407734343);
+CAPNP_DECLARE_SCHEMA(9d9beeb9de07f55e);
 CAPNP_DECLARE_SCHEMA(971727d6bb86b28a);
 CAPNP_DECLARE_SCHEMA(96cbd4fe8a8c5b2b);
 CAPNP_DECLARE_SCHEMA(bd4bd6b5542b57b5);
@@ -256,6 +257,21 @@
   };
 };
 
+struct RelayedBeat {
+  RelayedBeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d9beeb9de07f55e, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerBeat {
   PeerBeat() = delete;
 
@@ -264,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 8, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1657,6 +1673,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class RelayedBeat::Reader {
+public:
+  typedef RelayedBeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage() const;
+  inline  ::capnp::Data::Reader getMessage() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RelayedBeat::Builder {
+public:
+  typedef RelayedBeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasMessage();
+  inline  ::capnp::Data::Builder getMessage();
+  inline void setMessage( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RelayedBeat::Pipeline {
+public:
+  typedef RelayedBeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerBeat::Reader {
 public:
   typedef PeerBeat Reads;
@@ -1716,6 +1818,15 @@
   inline bool hasUnreachedServices() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreachedServices() const;
 
+  inline bool getPassesOn() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline bool getToPassOn() const;
+
+  inline bool hasRelayed() const;
+  inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Reader getRelayed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1828,6 +1939,22 @@
   inline void adoptUnreachedServices(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownUnreachedServices();
 
+  inline bool getPassesOn();
+  inline void setPassesOn(bool value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline bool getToPassOn();
+  inline void setToPassOn(bool value);
+
+  inline bool hasRelayed();
+  inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Builder getRelayed();
+  inline void setRelayed( ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Builder initRelayed(unsigned int size);
+  inline void adoptRelayed(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>> disownRelayed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3325,6 +3452,54 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RelayedBeat::Reader::hasMessage() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RelayedBeat::Builder::hasMessage() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader RelayedBeat::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder RelayedBeat::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RelayedBeat::Builder::setMessage( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder RelayedBeat::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RelayedBeat::Builder::adoptMessage(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> RelayedBeat::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RelayedBeat::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RelayedBeat::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RelayedBeat::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerBeat::Reader::getHost() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3732,6 +3907,82 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool PeerBeat::Reader::getPassesOn() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerBeat::Builder::getPassesOn() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void PeerBeat::Builder::setPassesOn(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerBeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerBeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PeerBeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerBeat::Reader::getToPassOn() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerBeat::Builder::getToPassOn() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+inline void PeerBeat::Builder::setToPassOn(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerBeat::Reader::hasRelayed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBeat::Builder::hasRelayed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Reader PeerBeat::Reader::getRelayed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Builder PeerBeat::Builder::getRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void PeerBeat::Builder::setRelayed( ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Builder PeerBeat::Builder::initRelayed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void PeerBeat::Builder::adoptRelayed(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>> PeerBeat::Builder::disownRelayed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -57,6 +57,7 @@
                          entry_fleet_events events)
     : options_(std::move(options)), events_(std::move(events)), socket_(loop),
       timer_(loop), peers_(options_.self, options_.seeds, options_.peers),
+      router_(options_.self.host, options_.self.zone, {}), relay_({}),
       holder_(options_.self.host, with_zone(options_.leases)),
       witness_(options_.self.host, with_zone(options_.leases)),
       activation_(with_zone(options_.leases))
@@ -97,18 +98,47 @@
     auto message = decode_peer_message(bytes);
     if (!message)
         return;
+    if (auto const* heartbeat = std::get_if<peer_heartbeat>(&*message))
+        if (heartbeat->to_pass_on)
+            relay_.add(heartbeat->host, bytes, boot_now());
     std::visit([this](auto const& each) { handle(each); }, *message);
 }
 
 void entry_fleet::handle(peer_heartbeat const& heartbeat)
+{
+    handle_heartbeat(heartbeat, boot_now(), false);
+    handle_relayed(heartbeat);
+}
+
+void entry_fleet::handle_relayed(peer_heartbeat const& carrier)
+{
+    auto const now = boot_now();
+    for (auto const& relayed : carrier.relayed)
+    {
+        auto const message = decode_peer_message(relayed.message);
+        auto const* heartbeat =
+            message ? std::get_if<peer_heartbeat>(&*message) : nullptr;
+        if (heartbeat && relayed.age <= max_relayed_age)
+            handle_heartbeat(*heartbeat, now - relayed.age, true);
+        else
+            log_event(event::heartbeat_ignored, "from", carrier.host, "bytes",
+                      relayed.message.size(), "age_ms", relayed.age.count() / 1'000'000);
+    }
+}
+
+void entry_fleet::handle_heartbeat(peer_heartbeat const& heartbeat,
+                                   time_point received_at, bool passed_on)
 {
     auto const now = boot_now();
     auto const host = heartbeat.host;
-    auto const change = peers_.on_heartbeat(heartbeat, now);
+    auto const change = peers_.on_heartbeat(heartbeat, received_at);
+    if (change == peer_change::ignored)
+        return;
     for (auto const& engine : heartbeat.engines)
-        holders_[engine.endpoint] = {host, now};
+        holders_[engine.endpoint] = {host, received_at};
     switch (change)
     {
+    case peer_change::ignored:
     case peer_change::none:
         break;
     case peer_change::appeared:
@@ -124,8 +154,11 @@
     if (change != peer_change::none)
         update_hosts(now);
     if (change == peer_change::appeared || change == peer_change::restarted)
+    {
+        router_.on_appeared(host);
         events_.on_host_appeared(host);
-    events_.on_heartbeat(heartbeat);
+    }
+    events_.on_heartbeat(heartbeat, received_at, passed_on);
 }
 
 void entry_fleet::handle(lease_request const& request)
@@ -260,7 +293,7 @@
             log_event(event::member_suspected, "host", host);
         update_hosts(now);
         witness_.forget_old(now);
-        send_heartbeats();
+        send_round(now);
         next_heartbeat_at_ = now + peers_.heartbeat_interval();
     }
     lease_actions actions;
@@ -276,29 +309,53 @@
         });
 }
 
-peer_heartbeat entry_fleet::make_heartbeat() const
+peer_heartbeat entry_fleet::make_heartbeat()
 {
     auto heartbeat = options_.self;
     heartbeat.incarnation = peers_.incarnation();
     heartbeat.gone = gone_;
+    heartbeat.passes_on = true;
+    heartbeat.sequence = ++sequence_;
 
     events_.fill_heartbeat(heartbeat);
     return heartbeat;
 }
 
-void entry_fleet::send_heartbeats()
+void entry_fleet::send_heartbeat(peer_heartbeat heartbeat, heartbeat_target const& to)
 {
-    auto const now = boot_now();
+    heartbeat.to_pass_on = to.passes_on;
+    heartbeat.mentions = peers_.mentions(to.host.value_or(host_id()), to.introduced);
+    if (to.host)
+        events_.fill_heartbeat_for(heartbeat, *to.host);
+    send(heartbeat, to.address);
+}
+
+void entry_fleet::send_round(time_point now)
+{
+    auto const targets = router_.next_round(peers_, now);
     auto const common = make_heartbeat();
-    for (auto const& address : peers_.targets(now))
-    {
-        auto heartbeat = common;
-        auto const host = peers_.host_at(address);
-        heartbeat.mentions = peers_.mentions(host.value_or(host_id()));
-        if (host)
-            events_.fill_heartbeat_for(heartbeat, *host);
-        send(heartbeat, address);
-    }
+    auto carrier = common;
+    carrier.relayed = relay_.take(now);
+    for (auto const& target : targets)
+        send_heartbeat(target.in_group ? carrier : common, target);
+}
+
+void entry_fleet::send_to_all()
+{
+    auto const common = make_heartbeat();
+    for (auto const& address : peers_.targets(boot_now()))
+        send_heartbeat(common, {.address = address, .host = peers_.host_at(address)});
+}
+
+void entry_fleet::announce()
+{
+    if (!peers_.uses_groups())
+        return send_to_all();
+    auto const common = make_heartbeat();
+    for (auto const& [id, known] : peers_.peers())
+        if (known.last_heartbeat.zone == options_.self.zone ||
+            !known.last_heartbeat.passes_on)
+            send_heartbeat(common, {.address = known.last_heartbeat.address, .host = id});
 }
 
 void entry_fleet::set_engines(std::vector<endpoint_id> const& engines)
@@ -419,13 +476,13 @@
     lease_actions actions;
     holder_.leave(boot_now(), actions);
     carry_out(actions);
-    send_heartbeats();
+    send_to_all();
 }
 
 void entry_fleet::close()
 {
     gone_ = true;
-    send_heartbeats();
+    send_to_all();
     timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -4,6 +4,8 @@
 #include <marjorampath/lease/lease_holder.hpp>
 #include <marjorampath/lease/lease_witness.hpp>
 #include <marjorampath/lease/witness_activation.hpp>
+#include <marjorampath/peer/heartbeat_relay.hpp>
+#include <marjorampath/peer/heartbeat_router.hpp>
 #include <marjorampath/peer/load_messages.hpp>
 #include <marjorampath/peer/peer_table.hpp>
 #include <serving/entry/peer_codec.hpp>
@@ -41,8 +43,9 @@
     std::function<void(peer_heartbeat&)> fill_heartbeat;
     /// Adds the fields for one receiver to a heartbeat.
     std::function<void(peer_heartbeat&, host_id)> fill_heartbeat_for;
-    /// Handles another host's heartbeat.
-    std::function<void(peer_heartbeat const&)> on_heartbeat;
+    /// Handles another host's heartbeat that was received from it at a time: by this host
+    /// or, if it was passed on, by another one.
+    std::function<void(peer_heartbeat const&, time_point, bool)> on_heartbeat;
     /// Decides on a host's request to load an adapter at an engine of this host.
     std::function<load_reply(load_request const&)> on_load_request;
     /// Handles the reply to a load request of this host.
@@ -114,9 +117,10 @@
     /// `on_stream_origin_reply`, or never if a datagram is lost.
     void query_stream_origin(stream_origin_query const& query, host_id from);
 
-    /// Sends a heartbeat to every host now instead of at the next interval, as after a
-    /// change of the configuration.
-    void send_heartbeats();
+    /// Sends a heartbeat now instead of at the next interval, as after a change of the
+    /// configuration: to every host, or in a large fleet to those of this zone, as each
+    /// zone has hosts that read the configuration themselves.
+    void announce();
 
     /// The fencing number for an order to an engine, or nothing if this host may not send
     /// one. To be called right before the order is sent.
@@ -143,6 +147,8 @@
     [[nodiscard]] host_id holder_of(endpoint_id engine) const;
 
 private:
+    // Age beyond which a heartbeat that was passed on is ignored
+    static constexpr duration max_relayed_age = std::chrono::seconds(5);
     // Largest payload of a UDP datagram over IPv4
     static constexpr std::size_t max_datagram_bytes = 65'507;
 
@@ -160,6 +166,12 @@
     [[nodiscard]] peer_address sender() const;
     // Decodes and handles a datagram; one that cannot be decoded is ignored
     void handle(std::string_view bytes);
+    // Handles a heartbeat that was received from its sender at a time, by this host or by
+    // one that passed it on
+    void handle_heartbeat(peer_heartbeat const& heartbeat, time_point received_at,
+                          bool passed_on);
+    // Handles the heartbeats that were passed on with another one
+    void handle_relayed(peer_heartbeat const& carrier);
     // Handles one kind of message
     void handle(peer_heartbeat const& heartbeat);
     void handle(lease_request const& request);
@@ -191,8 +203,14 @@
     // Sends a message to an address, or to a host
     void send(peer_message const& message, peer_address const& to);
     void send(peer_message const& message, host_id to);
-    // The heartbeat of this host, without the fields for one receiver
-    [[nodiscard]] peer_heartbeat make_heartbeat() const;
+    // The next heartbeat of this host, without the fields for one receiver
+    [[nodiscard]] peer_heartbeat make_heartbeat();
+    // Completes a heartbeat for a receiver and sends it
+    void send_heartbeat(peer_heartbeat heartbeat, heartbeat_target const& to);
+    // Sends the heartbeats of one round
+    void send_round(time_point now);
+    // Sends a heartbeat to all known addresses
+    void send_to_all();
 
     // Settings
     entry_fleet_options options_;
@@ -207,6 +225,12 @@
     std::array<char, max_datagram_bytes> buffer_;
     // Other hosts
     peer_table peers_;
+    // Chooses the receivers of heartbeats
+    heartbeat_router router_;
+    // Heartbeats of other groups that this host passes on to its own
+    heartbeat_relay relay_;
+    // Number of the last heartbeat
+    std::uint64_t sequence_ = 0;
     // Leases that this host holds or requests
     lease_holder holder_;
     // Leases that this host granted as a witness
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -231,11 +231,11 @@
                                                   char const* name);
     // Applies a listing of the endpoints
     void apply_listing(endpoint_listing listing, std::string_view source);
-    // Applies an update of the operator's data
     // Logs a change of an endpoint and tells all that depend on it
     void apply_endpoint_change(endpoint_event const& change, std::string_view source);
     // Takes an endpoint out of use whose answer said that it is leaving
     void note_leaving(endpoint_announcement const& endpoint);
+    // Applies an update of the operator's data
     void apply_operator_update(operator_update const& update, std::string_view source);
     // Puts a configuration in force
     void apply_configuration(std::shared_ptr<deployment const> const& configuration,
@@ -282,8 +282,21 @@
     // Passes the statuses of all these engines to the dispatcher
     void publish_statuses();
 
-    // Handles another host's heartbeat
-    void on_heartbeat(peer_heartbeat const& heartbeat);
+    // Handles another host's heartbeat, received from it at a time by this host or by one
+    // that passed it on
+    void on_heartbeat(peer_heartbeat const& heartbeat, time_point received_at,
+                      bool passed_on);
+    // Notes another host's requests in flight at plain endpoints
+    void update_others_in_flight(host_id host,
+                                 std::map<endpoint_id, std::uint32_t> const& in_flight);
+    // Passes the requests of other hosts at a plain endpoint to the dispatcher
+    void count_others_in_flight(endpoint_id endpoint,
+                                std::map<host_id, std::uint32_t> const& hosts);
+    // Counts the loads and requests in flight of other hosts that answer
+    void count_remote_work();
+    // Reports this host's requests in flight at each engine to the lease holders that do
+    // not get its heartbeats
+    void report_busy_engines();
     // Adds the fields that are the same for all receivers to a heartbeat
     void fill_heartbeat(peer_heartbeat& heartbeat);
     // Adds the fields for one receiver to a heartbeat
@@ -316,6 +329,11 @@
     // continued; empty if there may be several or the listing is old
     [[nodiscard]] std::optional<std::string>
     only_software_version(service_id service) const;
+    // The software version that began a stream by what engines keep of its prompt; asks
+    // them if that is not known
+    origin_judgement judge_origin(stream_question const& question);
+    // Asks an engine which prompt parts it keeps
+    boost::asio::awaitable<void> read_kept_parts(endpoint_announcement engine);
     // Answers another host's question for the origin of a stream
     stream_origin_reply on_stream_origin_query(stream_origin_query const& query);
     // Handles the reply to such a question of this host
@@ -329,11 +347,6 @@
     [[nodiscard]] retry_budget_options budget_options() const;
     // Whether this host accepts callers
     [[nodiscard]] bool ready() const;
-    // The software version that began a stream by what engines keep of its prompt; asks
-    // them if that is not known
-    origin_judgement judge_origin(stream_question const& question);
-    // Asks an engine which prompt parts it keeps
-    boost::asio::awaitable<void> read_kept_parts(endpoint_announcement engine);
     // Accepts no further callers; the node finishes when their requests have ended
     void stop_callers();
     // Ends the node once no request of callers or of other hosts is left
@@ -383,6 +396,8 @@
     load_planner planner_;
     // Origins of streams, for callers that continue them here or at another host
     stream_origin_table stream_origins_;
+    // What engines keep of prompts, for streams whose origin no host remembers
+    origin_evidence origin_evidence_;
     // Streams that this host forwards
     open_streams open_streams_;
     // Software versions of the services' endpoints
@@ -396,14 +411,16 @@
     // Large answers to other hosts that are being sent
     unsigned large_relays_ = 0;
     // Hosts from which the last reads failed
-    // What engines keep of prompts, for streams whose origin no host remembers
-    origin_evidence origin_evidence_;
     relay_failures failed_operator_relays_;
     relay_failures failed_listing_relays_;
     // Revision after which the operator's data is watched; zero to read all of it
     std::uint64_t watched_revision_ = 0;
     // Requests of other hosts in flight at plain endpoints
     std::map<endpoint_id, std::map<host_id, std::uint32_t>> others_in_flight_;
+    // Engines with requests of this host in flight at the last report to their holders
+    std::set<endpoint_id> busy_engines_;
+    // When they are reported next
+    time_point next_usage_reports_at_;
     // Engines that were passed to the fleet as resources
     std::set<endpoint_id> known_engines_;
     // Engines whose report is being read
@@ -425,6 +442,8 @@
     std::minstd_rand probe_random_;
     // Listeners that still have requests during the shutdown
     unsigned draining_listeners_ = 0;
+    // When the process started
+    time_point const started_at_ = boot_now();
     // Whether the node is shutting down
     bool stopping_ = false;
     // Whether the node has ended
@@ -441,5 +460,3 @@
 #include <serving/entry/entry_node_relay.inl>
 #include <serving/entry/entry_node_streams.inl>
 #include <serving/entry/entry_node_view.inl>
-    // When the process started
-    time_point const started_at_ = boot_now();
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -280,6 +280,12 @@
         boost::asio::co_spawn(loop_, read_peer_listing(), boost::asio::detached);
     }
     context_.dispatch.set_status_interval(fleet_.peers().heartbeat_interval());
+    count_remote_work();
+    if (now >= next_usage_reports_at_)
+    {
+        next_usage_reports_at_ = now + fleet_.peers().heartbeat_interval();
+        report_busy_engines();
+    }
     publish_statuses();
     send_orders();
     periodic_timer_.expires_after(times_.periodic_interval);
--- a/serving/entry/entry_node_fleet.inl
+++ b/serving/entry/entry_node_fleet.inl
@@ -33,8 +33,9 @@
         { fill_heartbeat(heartbeat); },
         .fill_heartbeat_for = [this](peer_heartbeat& heartbeat, host_id to)
         { fill_heartbeat_for(heartbeat, to); },
-        .on_heartbeat = [this](peer_heartbeat const& heartbeat)
-        { on_heartbeat(heartbeat); },
+        .on_heartbeat = [this](peer_heartbeat const& heartbeat, time_point received_at,
+                               bool passed_on)
+        { on_heartbeat(heartbeat, received_at, passed_on); },
         .on_load_request = [this](load_request const& request)
         { return on_load_request(request); },
         .on_load_reply = [this](load_reply const& reply) { on_load_reply(reply); },
@@ -74,66 +75,117 @@
     heartbeat.rate_limits = context_.rate_limits.reported(fleet_.peers(), now);
     heartbeat.parts = context_.parts.reports(now);
     heartbeat.unreached_services = context_.reach.cut_services();
+    for (auto const& [id, endpoint] : catalog_.endpoints())
+    {
+        auto const* load = context_.dispatch.find(id);
+        if (load && load->in_flight > 0 && !known_engines_.contains(id))
+            heartbeat.usage.push_back({.endpoint = id, .in_flight = load->in_flight});
+    }
 }
 
 template <entry_platform Platform>
 void entry_node<Platform>::fill_heartbeat_for(peer_heartbeat& heartbeat, host_id to)
 {
     auto const now = boot_now();
-    for (auto const& [id, endpoint] : catalog_.endpoints())
+    for (auto const engine : known_engines_)
+        if (fleet_.holder_of(engine) == to)
+            if (auto usage = context_.dispatch.take_usage(engine, now))
+                heartbeat.usage.push_back(std::move(*usage));
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::report_busy_engines()
+{
+    // In a small fleet each lease holder gets this host's heartbeats
+    if (!fleet_.peers().uses_groups())
+        return;
+    for (auto const engine : known_engines_)
     {
-        auto const engine = known_engines_.contains(id);
-        if (engine && fleet_.holder_of(id) != to)
-            continue;
-        auto const* load = context_.dispatch.find(id);
-        if (!load || (!engine && load->in_flight == 0))
-            continue;
-        if (engine)
-            heartbeat.usage.push_back(*context_.dispatch.take_usage(id, now));
-        else
-            heartbeat.usage.push_back({.endpoint = id, .in_flight = load->in_flight});
+        auto const* load = context_.dispatch.find(engine);
+        auto const busy = load && load->in_flight > 0;
+        // The end of the last request is reported once more, in case a datagram was lost
+        auto const was_busy = busy ? !busy_engines_.insert(engine).second
+                                   : busy_engines_.erase(engine) > 0;
+        if (busy || was_busy)
+            report_usage(engine, false);
     }
 }
 
 template <entry_platform Platform>
-void entry_node<Platform>::on_heartbeat(peer_heartbeat const& heartbeat)
+void entry_node<Platform>::on_heartbeat(peer_heartbeat const& heartbeat,
+                                        time_point received_at, bool passed_on)
 {
     auto const now = boot_now();
     for (auto const& status : heartbeat.engines)
-        context_.dispatch.on_status(status, now);
+        context_.dispatch.on_status(status, received_at);
     for (auto const& known : heartbeat.convictions)
-        context_.suspects.merge(now, known);
+        context_.suspects.merge(received_at, known);
     for (auto const& notice : heartbeat.rate_limits)
-        apply_peer_rate_limit(notice);
+    {
+        auto aged = notice;
+        aged.age += now - received_at;
+        apply_peer_rate_limit(aged);
+    }
     for (auto const& report : heartbeat.parts)
-        context_.parts.merge(report, now);
+        context_.parts.merge(report, received_at);
     log_part_convictions();
-    std::uint32_t remote_loads = 0;
-    for (auto const& [host, known] : fleet_.peers().peers())
-        remote_loads += fleet_.peers().is_responsive(host, now)
-                            ? known.last_heartbeat.loads_in_transit
-                            : 0;
-    planner_.set_remote_loads(remote_loads);
 
-    // The sender has nothing in flight at endpoints that its heartbeat does not list
-    for (auto& [endpoint, hosts] : others_in_flight_)
-        hosts.erase(heartbeat.host);
+    // The sender has nothing in flight at plain endpoints that its heartbeat does not
+    // list. What it reports of engines is for the receiver alone
+    std::map<endpoint_id, std::uint32_t> plain;
     for (auto const& usage : heartbeat.usage)
     {
-        if (known_engines_.contains(usage.endpoint))
+        if (!known_engines_.contains(usage.endpoint))
+            plain[usage.endpoint] = usage.in_flight;
+        else if (!passed_on)
             planner_.on_usage(heartbeat.host, usage, now);
-        else
-            others_in_flight_[usage.endpoint][heartbeat.host] = usage.in_flight;
     }
-    for (auto const& [endpoint, hosts] : others_in_flight_)
+    update_others_in_flight(heartbeat.host, plain);
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::update_others_in_flight(
+    host_id host, std::map<endpoint_id, std::uint32_t> const& in_flight)
+{
+    for (auto const& [endpoint, count] : in_flight)
+        others_in_flight_[endpoint];
+    for (auto& [endpoint, hosts] : others_in_flight_)
     {
-        std::uint32_t sum = 0;
-        for (auto const& [host, count] : hosts)
-            sum += fleet_.peers().is_responsive(host, now) ? count : 0;
-        context_.dispatch.on_others_in_flight(endpoint, sum);
+        auto const found = in_flight.find(endpoint);
+        auto const changed = found == in_flight.end()
+                                 ? hosts.erase(host) > 0
+                                 : std::exchange(hosts[host], found->second) !=
+                                       found->second;
+        if (changed)
+            count_others_in_flight(endpoint, hosts);
     }
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::count_others_in_flight(
+    endpoint_id endpoint, std::map<host_id, std::uint32_t> const& hosts)
+{
+    auto const now = boot_now();
+    std::uint32_t sum = 0;
+    for (auto const& [host, count] : hosts)
+        sum += fleet_.peers().is_responsive(host, now) ? count : 0;
+    context_.dispatch.on_others_in_flight(endpoint, sum);
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::count_remote_work()
+{
+    auto const now = boot_now();
+    std::uint32_t remote_loads = 0;
+    for (auto const& [host, known] : fleet_.peers().peers())
+        remote_loads += fleet_.peers().is_responsive(host, now)
+                            ? known.last_heartbeat.loads_in_transit
+                            : 0;
+    planner_.set_remote_loads(remote_loads);
+    for (auto const& [endpoint, hosts] : others_in_flight_)
+        count_others_in_flight(endpoint, hosts);
+}
+
 template <entry_platform Platform>
 load_reply entry_node<Platform>::on_load_request(load_request const& request)
 {
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -126,7 +126,7 @@
 
     // Hosts that do not read the store learn at once that there is a newer configuration
     if (source == "store")
-        fleet_.send_heartbeats();
+        fleet_.announce();
 }
 
 template <entry_platform Platform>
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -251,6 +251,20 @@
         value.software_version = wire.getSoftware().cStr();
 }
 
+void encode(relayed_heartbeat const& value, RelayedBeat::Builder wire)
+{
+    wire.setMessage(kj::arrayPtr(reinterpret_cast<kj::byte const*>(value.message.data()),
+                                 value.message.size()));
+    wire.setAge(encode_duration(value.age));
+}
+
+void decode(RelayedBeat::Reader wire, relayed_heartbeat& value)
+{
+    auto const message = wire.getMessage();
+    value.message.assign(reinterpret_cast<char const*>(message.begin()), message.size());
+    value.age = std::max(duration{0}, decode_duration(wire.getAge()));
+}
+
 void encode(peer_heartbeat const& value, PeerBeat::Builder wire)
 {
     wire.setHost(value.host.number());
@@ -273,6 +287,10 @@
     for (std::size_t index = 0; index < value.unreached_services.size(); ++index)
         unreached.set(static_cast<capnp::uint>(index),
                       value.unreached_services[index].number());
+    wire.setPassesOn(value.passes_on);
+    wire.setSequence(value.sequence);
+    wire.setToPassOn(value.to_pass_on);
+    encode_list(value.relayed, wire.initRelayed(wire_size(value.relayed)));
 }
 
 void decode(PeerBeat::Reader wire, peer_heartbeat& value)
@@ -295,6 +313,10 @@
     decode_list(wire.getParts(), value.parts);
     for (auto const service : wire.getUnreachedServices())
         value.unreached_services.emplace_back(service);
+    value.passes_on = wire.getPassesOn();
+    value.sequence = wire.getSequence();
+    value.to_pass_on = wire.getToPassOn();
+    decode_list(wire.getRelayed(), value.relayed);
 }
 
 void encode(load_request const& value, LoadRequest::Builder wire)
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -108,6 +108,8 @@
                 "A host joined, or a suspected or dead host answers again."},
     event_entry{member_left, info, "member_left",
                 "A host is leaving or has left the fleet."},
+    event_entry{heartbeat_ignored, warning, "heartbeat_ignored",
+                "A heartbeat that host `from` passed on is too old or cannot be read."},
 
     event_entry{lease_gained, info, "lease_gained",
                 "This host now owns a cell or a key shard."},
@@ -168,12 +170,12 @@
     event_entry{pause_requested, info, "pause_requested",
                 "An endpoint refused a request and wants none from this host for "
                 "`pause_ms`."},
-    event_entry{load_asked, info, "load_asked",
-                "The lease holder of an engine was sent a load request for an adapter."},
     event_entry{kept_parts_read, info, "kept_parts_read",
                 "An engine was asked which prompt parts it keeps, because callers "
                 "continue streams whose origin no host remembers; `parts` is -1 if it "
                 "did not answer."},
+    event_entry{load_asked, info, "load_asked",
+                "The lease holder of an engine was sent a load request for an adapter."},
     event_entry{
         load_decided, info, "load_decided",
         "This host decided on a load request for an engine whose lease it holds."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -56,6 +56,7 @@
     member_dead = 311,
     member_alive = 312,
     member_left = 313,
+    heartbeat_ignored = 314,
 
     lease_gained = 400,
     lease_lost = 401,
@@ -83,8 +84,8 @@
     endpoint_appeared = 515,
     service_reachable = 516,
     pause_requested = 517,
-    load_asked = 520,
     kept_parts_read = 518,
+    load_asked = 520,
     load_decided = 521,
     order_given = 522,
     engine_reported = 523,
--- /dev/null
+++ b/tests/unit/peer/heartbeat_router_test.cpp
@@ -0,0 +1,202 @@
+#include <marjorampath/peer/heartbeat_groups.hpp>
+#include <serving/entry/peer_codec.hpp>
+#include <tests/unit/peer/heartbeat_fleet.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+#include <variant>
+
+using namespace marjorampath;
+using namespace marjorampath::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Time in which hosts that start together must know each other
+constexpr duration start_time = 3s;
+
+std::size_t all_pairs(std::size_t hosts)
+{
+    return hosts * (hosts - 1);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(heartbeat_routers)
+
+BOOST_AUTO_TEST_CASE(hosts_that_start_together_know_each_other_within_seconds)
+{
+    for (auto const hosts : {9U, 37U, 58U, 91U, 195U, 340U})
+    {
+        heartbeat_fleet fleet({.hosts = hosts, .zones = 6});
+        fleet.run(start_time);
+        BOOST_TEST_CONTEXT(hosts << " hosts")
+        {
+            BOOST_TEST(fleet.pairs_heard() == all_pairs(hosts));
+            BOOST_TEST(fleet.pairs_exchanged() == all_pairs(hosts));
+        }
+    }
+}
+
+// 195 hosts sent 35,000 datagrams a second, and a host that was lost counted as alive for
+// more than five seconds
+BOOST_AUTO_TEST_CASE(heartbeats_grow_with_the_square_root_of_the_fleet)
+{
+    for (auto const hosts : {58U, 91U, 195U, 340U})
+    {
+        heartbeat_fleet fleet({.hosts = hosts, .zones = 6});
+        fleet.run(8s);
+        fleet.datagrams = 0;
+        fleet.run(10s);
+        auto const per_host = static_cast<double>(fleet.datagrams) / hosts / 10;
+        BOOST_TEST_MESSAGE(hosts << " hosts: " << per_host
+                                 << " datagrams a second and host, interval "
+                                 << fleet.table(0).heartbeat_interval() / 1ms << " ms");
+        BOOST_TEST_CONTEXT(hosts << " hosts")
+        {
+            BOOST_TEST(per_host <= 70);
+            BOOST_TEST(fleet.pairs_heard() == all_pairs(hosts));
+            BOOST_TEST(fleet.false_silences == 0U);
+            fleet.kill(hosts / 3);
+            fleet.run(fleet.table(0).heartbeat_interval() * 10);
+            BOOST_TEST(fleet.hosts_that_hear(hosts / 3) == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lost_datagrams_make_no_host_silent)
+{
+    for (std::uint32_t seed = 1; seed <= 5; ++seed)
+    {
+        heartbeat_fleet fleet({.hosts = 91, .zones = 4, .seed = seed, .loss = 0.03});
+        fleet.run(8s);
+        fleet.false_silences = 0;
+        fleet.run(30s);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(fleet.false_silences == 0U);
+            BOOST_TEST(fleet.pairs_exchanged() == all_pairs(91));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_remain_hear_each_other_when_a_third_is_lost)
+{
+    constexpr std::uint32_t hosts = 195;
+    heartbeat_fleet fleet({.hosts = hosts, .zones = 6});
+    fleet.run(8s);
+    for (std::uint32_t index = 0; index < hosts; index += 3)
+        fleet.kill(index);
+    fleet.run(10s);
+    BOOST_TEST(fleet.pairs_heard() == all_pairs(130));
+
+    // All of them start again
+    for (std::uint32_t index = 0; index < hosts; index += 3)
+        fleet.start(index);
+    fleet.run(start_time);
+    BOOST_TEST(fleet.pairs_heard() == all_pairs(hosts));
+    BOOST_TEST(fleet.pairs_exchanged() == all_pairs(hosts));
+}
+
+BOOST_AUTO_TEST_CASE(zones_that_were_cut_off_hear_each_other_again)
+{
+    constexpr std::uint32_t hosts = 91;
+    heartbeat_fleet fleet({.hosts = hosts, .zones = 4});
+    fleet.run(8s);
+    fleet.cut([](std::uint32_t index) { return index % 4 == 0 ? 1 : 0; });
+    fleet.run(8s);
+    BOOST_TEST(fleet.pairs_heard() == all_pairs(23) + all_pairs(68));
+    BOOST_TEST(fleet.false_silences == 0U);
+    fleet.cut([](std::uint32_t) { return 0; });
+    fleet.run(start_time);
+    BOOST_TEST(fleet.pairs_heard() == all_pairs(hosts));
+}
+
+// During an upgrade
+BOOST_AUTO_TEST_CASE(hosts_of_a_build_without_groups_hear_and_are_heard)
+{
+    for (auto const old_builds : {1U, 45U, 90U})
+    {
+        heartbeat_fleet fleet({.hosts = 91, .zones = 4, .old_builds = old_builds});
+        fleet.run(8s);
+        fleet.false_silences = 0;
+        BOOST_TEST_CONTEXT(old_builds << " hosts of the build before")
+        {
+            BOOST_TEST(fleet.pairs_heard() == all_pairs(91));
+            BOOST_TEST(fleet.pairs_exchanged() == all_pairs(91));
+            fleet.run(20s);
+            BOOST_TEST(fleet.false_silences == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_older_heartbeat_that_was_passed_on_changes_nothing)
+{
+    peer_table table({.host = host_id::of("a")}, {}, {});
+    time_point const now(1'000s);
+    peer_heartbeat heartbeat{.host = host_id::of("b"),
+                             .incarnation = 7,
+                             .listing_revision = 20,
+                             .passes_on = true,
+                             .sequence = 5};
+    table.on_heartbeat(heartbeat, now);
+    heartbeat.sequence = 4;
+    heartbeat.listing_revision = 10;
+    BOOST_TEST((table.on_heartbeat(heartbeat, now - 1s) == peer_change::ignored));
+    auto const& known = table.peers().at(host_id::of("b"));
+    BOOST_TEST(known.last_heartbeat.listing_revision == 20U);
+    BOOST_TEST((known.last_heartbeat_at == now));
+
+    // The numbers of a new process begin anew
+    heartbeat.incarnation = 8;
+    heartbeat.sequence = 1;
+    BOOST_TEST((table.on_heartbeat(heartbeat, now) == peer_change::restarted));
+}
+
+BOOST_AUTO_TEST_CASE(twice_as_many_groups_halve_each_one)
+{
+    for (std::uint32_t index = 0; index < 100; ++index)
+    {
+        auto const host = heartbeat_fleet::host_of(index);
+        auto const zone = zone_id::of("z");
+        auto const two = heartbeat_group_of(host, zone, 32, 256);
+        auto const four = heartbeat_group_of(host, zone, 64, 256);
+        BOOST_TEST(two.index == four.index / 2);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_passed_on_as_it_was_received)
+{
+    peer_heartbeat const inner{.host = host_id::of("b"),
+                               .incarnation = 7,
+                               .passes_on = true,
+                               .sequence = 5,
+                               .to_pass_on = true};
+    auto const bytes = serving::encode_peer_message(inner);
+    heartbeat_relay relay({});
+    relay.add(inner.host, bytes, time_point(10s));
+    peer_heartbeat const carrier{.host = host_id::of("c"),
+                                 .relayed = relay.take(time_point(10s) + 300ms)};
+    auto const read = serving::decode_peer_message(serving::encode_peer_message(carrier));
+    BOOST_REQUIRE(read.has_value());
+    auto const& relayed = std::get<peer_heartbeat>(*read).relayed;
+    BOOST_REQUIRE(relayed.size() == 1U);
+    BOOST_TEST((relayed[0].age == 300ms));
+    BOOST_TEST(relayed[0].message == bytes);
+    BOOST_TEST(relay.take(time_point(11s)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_that_fits_into_no_datagram_is_not_passed_on)
+{
+    heartbeat_relay relay({.max_bytes = 10});
+    relay.add(host_id::of("a"), std::string(11, 'x'), time_point(10s));
+    relay.add(host_id::of("b"), std::string(6, 'x'), time_point(10s));
+    relay.add(host_id::of("c"), std::string(6, 'x'), time_point(10s));
+    BOOST_TEST(relay.take(time_point(11s)).size() == 1U);
+    BOOST_TEST(relay.take(time_point(11s)).size() == 1U);
+    BOOST_TEST(relay.take(time_point(11s)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
