Test trickling streams, lost answers of unsafe requests and answers of other instances

Cause: operators of like systems saw stalled streams that never ended, and work run again or denied behind a lost answer; neither had a test of the exchange. Change: tests only; the test of another instance named none in its answer, so that it showed an engine without the adapter.

--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -80,7 +80,8 @@
 
 BOOST_AUTO_TEST_CASE(an_answer_of_another_instance_says_nothing_of_the_endpoint)
 {
-    entry_fixture entry({{"HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
+    entry_fixture entry({{"HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-9\r\n"
+                          "X-Not-Executed: 1\r\n"
                           "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
                          {sealed("late")}},
                         {{sealed("second")}});
@@ -297,6 +298,31 @@
 }
 
 // The rest of such answers was awaited until the request's deadline
+// Stalled streams that sent a byte now and then never ended
+BOOST_AUTO_TEST_CASE(a_stream_that_only_trickles_ends_at_its_deadline_and_looks_cut)
+{
+    entry_fixture entry({{.text = stream_head() + chunk(events(1, 2)),
+                          .endless = chunk("x"),
+                          .pause = 40ms}},
+                        {});
+    auto const begin = boot_now();
+    auto const answer = entry.send_request(http::verb::post, "/stream/x");
+    BOOST_TEST(contains(answer, "data: 2"));
+    BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+    BOOST_TEST((boot_now() - begin < 2'500ms));
+}
+
+// Work whose answer was lost was run again, or its caller was told that it had not run
+BOOST_AUTO_TEST_CASE(
+    an_unsafe_request_whose_answer_is_lost_is_neither_repeated_nor_denied)
+{
+    entry_fixture entry({{.text = "", .closes = true}}, {{sealed("second")}});
+    auto const answer = entry.send_request(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(contains(answer, "X-Outcome: unknown"));
+    BOOST_TEST(entry.sends() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_whose_body_never_ends_does_not_hold_the_request)
 {
     auto const head = [](std::string const& more)
