--- a/tests/unit/peer/heartbeat_router_test.cpp
+++ b/tests/unit/peer/heartbeat_router_test.cpp
@@ -188,6 +188,38 @@
     BOOST_TEST(relay.take(time_point(11s)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(damaged_heartbeats_and_those_passed_on_with_them_end_no_process)
+{
+    heartbeat_relay relay({});
+    auto const inner = serving::encode_peer_message(
+        peer_heartbeat{.host = host_id::of("b"), .incarnation = 7, .sequence = 5});
+    relay.add(host_id::of("b"), inner, time_point(10s));
+    auto const whole = serving::encode_peer_message(
+        peer_heartbeat{.host = host_id::of("c"),
+                       .unreached_services = {service_id::of("s")},
+                       .relayed = relay.take(time_point(10s))});
+    std::size_t read = 0;
+    for (std::uint32_t seed = 1; seed <= 20'000; ++seed)
+    {
+        std::minstd_rand random(seed);
+        auto bytes = whole;
+        for (auto changes = 1 + random() % 4; changes > 0; --changes)
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        if (random() % 3 == 0)
+            bytes.resize(random() % bytes.size());
+        auto const message = serving::decode_peer_message(bytes);
+        auto const* carrier = message ? std::get_if<peer_heartbeat>(&*message) : nullptr;
+        if (!carrier)
+            continue;
+        for (auto const& relayed : carrier->relayed)
+        {
+            BOOST_REQUIRE_MESSAGE(relayed.age >= 0s, "seed " << seed);
+            read += serving::decode_peer_message(relayed.message) ? 1U : 0U;
+        }
+    }
+    BOOST_TEST(read > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_heartbeat_that_fits_into_no_datagram_is_not_passed_on)
 {
     heartbeat_relay relay({.max_bytes = 10});
