--- a/marjorampath/peer/heartbeat_router.cpp
+++ b/marjorampath/peer/heartbeat_router.cpp
@@ -1,5 +1,4 @@
 #include <marjorampath/core/hash.hpp>
-#include <marjorampath/peer/heartbeat_groups.hpp>
 #include <marjorampath/peer/heartbeat_router.hpp>
 #include <marjorampath/peer/peer_table.hpp>
 
@@ -34,55 +33,61 @@
     return true;
 }
 
-std::vector<heartbeat_target> heartbeat_router::next_round(peer_table const& peers,
-                                                           time_point now)
+heartbeat_router::receivers heartbeat_router::find_receivers(peer_table const& peers,
+                                                             time_point now)
 {
-    ++round_;
-    std::erase_if(introductions_, [&](auto const& entry)
-                  { return !peers.peers().contains(entry.first); });
-    std::vector<heartbeat_target> targets;
-    for (auto const& address : peers.unknown_addresses())
-        targets.push_back({.address = address});
-
-    auto const grouped = peers.uses_groups();
     auto const zones = count_zones(peers, zone_);
-    auto const fleet_hosts = peers.grouped_hosts();
     auto const group_of = [&](host_id host, zone_id zone)
-    { return heartbeat_group_of(host, zone, zones.at(zone), fleet_hosts); };
+    { return heartbeat_group_of(host, zone, zones.at(zone), peers.grouped_hosts()); };
     auto const own_group = group_of(self_, zone_);
-    std::map<heartbeat_group, std::vector<heartbeat_target>> others;
-    std::map<heartbeat_group, std::vector<heartbeat_target>> silent;
+    receivers found;
     for (auto const& [id, known] : peers.peers())
     {
         auto const& heartbeat = known.last_heartbeat;
         heartbeat_target target{.address = heartbeat.address, .host = id};
         target.introduced = introduce(id, heartbeat.incarnation);
-        if (!grouped || !heartbeat.passes_on)
+        if (!peers.uses_groups() || !heartbeat.passes_on)
         {
-            targets.push_back(target);
+            found.direct.push_back(target);
             continue;
         }
         auto const group = group_of(id, heartbeat.zone);
         target.in_group = group == own_group;
         if (target.in_group || target.introduced)
-            targets.push_back(target);
+            found.direct.push_back(target);
+        else if (peers.is_responsive(id, now))
+            found.responsive[group].push_back(target);
         else
-            (peers.is_responsive(id, now) ? others : silent)[group].push_back(target);
+            found.silent[group].push_back(target);
     }
+    return found;
+}
+
+std::vector<heartbeat_target> heartbeat_router::next_round(peer_table const& peers,
+                                                           time_point now)
+{
+    ++round_;
+    std::erase_if(introductions_, [&](auto const& entry)
+                  { return !peers.peers().contains(entry.first); });
+    auto found = find_receivers(peers, now);
+    auto targets = std::move(found.direct);
+    for (auto const& address : peers.unknown_addresses())
+        targets.push_back({.address = address});
 
     // Hosts begin at different members, so that these have equal work
     auto const turn = round_ + hash_combine(self_.number(), 0);
-    auto const choose = [&](std::vector<heartbeat_target> const& members)
+    auto const choose = [&](group_members const& groups)
     {
-        targets.push_back(members[turn % members.size()]);
-        targets.back().passes_on = true;
+        for (auto const& [group, members] : groups)
+        {
+            targets.push_back(members[turn % members.size()]);
+            targets.back().passes_on = true;
+        }
     };
-    for (auto const& [group, members] : others)
-        choose(members);
+    choose(found.responsive);
 
     // Silent hosts may only have been cut off
-    for (auto const& [group, members] : silent)
-        choose(members);
+    choose(found.silent);
     return targets;
 }
 
--- a/marjorampath/peer/heartbeat_router.hpp
+++ b/marjorampath/peer/heartbeat_router.hpp
@@ -2,6 +2,7 @@
 
 #include <marjorampath/core/identifier.hpp>
 #include <marjorampath/core/time.hpp>
+#include <marjorampath/peer/heartbeat_groups.hpp>
 #include <marjorampath/peer/peer_heartbeat.hpp>
 
 #include <cstddef>
@@ -71,6 +72,20 @@
         std::uint32_t sent = 0;
     };
 
+    using group_members = std::map<heartbeat_group, std::vector<heartbeat_target>>;
+
+    // Hosts that may get a heartbeat
+    struct receivers
+    {
+        // Those that get it in each round
+        std::vector<heartbeat_target> direct;
+        // Members of other groups of which one gets it, by whether they answer
+        group_members responsive;
+        group_members silent;
+    };
+
+    // The hosts that may get the next heartbeat
+    receivers find_receivers(peer_table const& peers, time_point now);
     // Counts a heartbeat to a host; true if its process has had few of them before
     bool introduce(host_id host, std::uint64_t incarnation);
 
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -334,4 +334,21 @@
     BOOST_TEST(report->loading_adapters.at(0).name == "m/a4");
 }
 
+BOOST_AUTO_TEST_CASE(the_prompt_parts_that_an_engine_keeps_are_parsed)
+{
+    auto const parts = engine_client::parse_kept_parts(
+        R"({"epoch":"e","next":9,"held":[["","5c1e07a2",800,"m"],["","b2",7,"m/a3"]]})");
+    BOOST_REQUIRE(parts.has_value());
+    BOOST_TEST(parts->size() == 2U);
+    BOOST_TEST(parts->contains(0x5c1e07a2));
+    BOOST_TEST(parts->contains(0xb2));
+    BOOST_TEST(engine_client::parse_kept_parts(R"({"held":[]})")->empty());
+
+    // A list that cannot be read whole proves nothing
+    for (auto const* text :
+         {"", "{}", R"({"held":7})", R"({"held":[["","b2",7,"m"],["",7]]})",
+          R"({"held":[["","b2x",7,"m"]]})", R"({"held":[["",""]]})", R"({"held":[[]]})"})
+        BOOST_TEST(!engine_client::parse_kept_parts(text).has_value(), text);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
