--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -68,6 +68,9 @@
     /// Added to the age of the listing of a peer in another zone, because traffic between
     /// zones is charged.
     duration other_zone_penalty = std::chrono::milliseconds(900);
+    /// Age of this host's listing from which it counts as old: reads from other hosts
+    /// have failed for some time.
+    duration old_listing_age = std::chrono::milliseconds(2'000);
     /// Age of the listing up to which it shows all software versions that serve.
     duration max_software_age = std::chrono::milliseconds(3'000);
     /// Interval of reading the report of an engine whose lease this host holds.
@@ -213,6 +216,8 @@
     static std::string listing_tag(std::uint64_t revision);
     // Time since this host's listing was read from the store
     [[nodiscard]] duration listing_age(time_point now) const;
+    // Logs that the listing has become old, and how old it was once it is renewed
+    void log_listing_age(time_point now);
     // The decoded body of a peer's answer; empty if there is none
     static std::optional<std::string> relayed_body(http_fetch_result const& fetched);
     // Answers another host's read of the listing, or of the operator's data
@@ -434,6 +439,8 @@
     // Whether `read_peer_operator` or `read_peer_listing` is waiting for a peer
     bool reading_peer_operator_ = false;
     bool reading_peer_listing_ = false;
+    // Highest age of the listing since it became old; zero while it is not
+    duration old_listing_age_{0};
     // Whether the last listing of the store succeeded
     bool store_reachable_ = true;
     // Result of the last readiness probe
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -266,6 +266,7 @@
     auto const now = boot_now();
     context_.lost.expire(context_.suspects, now);
     context_.parts.forget_old(now);
+    log_listing_age(now);
     for (auto const service : context_.reach.due_probes(now))
         probe_service(service);
     if (now >= next_reports_at_)
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -176,6 +176,26 @@
     return catalog_.listed_at() ? now - *catalog_.listed_at() : duration::max();
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::log_listing_age(time_point now)
+{
+    if (!catalog_.listed_at())
+        return;
+    auto const age = listing_age(now);
+    if (age > times_.old_listing_age)
+    {
+        if (old_listing_age_ == duration{0})
+            log_event(event::listing_aged, "revision", catalog_.revision(), "age_ms",
+                      age.count() / 1'000'000);
+        old_listing_age_ = std::max(old_listing_age_, age);
+    }
+    else if (old_listing_age_ != duration{0})
+    {
+        log_event(event::listing_renewed, "revision", catalog_.revision(), "age_ms",
+                  std::exchange(old_listing_age_, duration{0}).count() / 1'000'000);
+    }
+}
+
 template <entry_platform Platform>
 relay_choice entry_node<Platform>::choose_relays_except(relay_failures& failures) const
 {
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -92,6 +92,12 @@
     event_entry{operator_relayed, info, "operator_relayed",
                 "Another host's copy of the operator's data was adopted. `bytes` is the "
                 "size of its answer."},
+    event_entry{listing_aged, warning, "listing_aged",
+                "The listing of endpoints has become older than the time within which a "
+                "newer one is read; endpoints that left meanwhile may still be used."},
+    event_entry{listing_renewed, info, "listing_renewed",
+                "A newer listing followed one that had aged; `age_ms` is how old that "
+                "one became."},
 
     event_entry{link_opened, info, "link_opened", "A connection to a host was opened."},
     event_entry{link_lost, warning, "link_lost",
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -47,6 +47,8 @@
     operator_read_failed = 218,
     missing_entries_kept = 219,
     operator_relayed = 220,
+    listing_aged = 221,
+    listing_renewed = 222,
 
     link_opened = 300,
     link_lost = 301,
--- a/tests/unit/peer/heartbeat_fleet.hpp
+++ b/tests/unit/peer/heartbeat_fleet.hpp
@@ -49,8 +49,7 @@
     void start(std::uint32_t index)
     {
         peer_heartbeat self{.host = host_of(index),
-                            .zone =
-                                zone_id::of(fmt::format("z{}", index % options_.zones)),
+                            .zone = zone(index),
                             .incarnation = ++incarnations_,
                             .address = address_of(index),
                             .passes_on = index >= options_.old_builds};
@@ -111,6 +110,16 @@
         return count;
     }
 
+    static peer_address address(std::uint32_t index)
+    {
+        return address_of(index);
+    }
+
+    [[nodiscard]] zone_id zone(std::uint32_t index) const
+    {
+        return zone_id::of(fmt::format("z{}", index % options_.zones));
+    }
+
     [[nodiscard]] peer_table const& table(std::uint32_t index) const
     {
         return machines_[index]->peers;
@@ -121,6 +130,8 @@
         return now_;
     }
 
+    // Sets what the host of an index reports in its heartbeats
+    std::function<void(std::uint32_t, peer_heartbeat&)> fill_heartbeat;
     // Heartbeats sent, with those that were passed on
     std::size_t datagrams = 0;
     // Times at which a running host took another running host for silent
@@ -186,6 +197,8 @@
                     ++false_silences;
         auto common = from.self;
         common.incarnation = from.peers.incarnation();
+        if (fill_heartbeat)
+            fill_heartbeat(index, common);
         auto const grouped = common.passes_on;
         if (grouped)
             common.sequence = ++from.sequence;
