--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -22,7 +22,7 @@
     for (auto& entry : listing)
     {
         listed.insert(entry.id);
-        apply_entry(std::move(entry), events);
+        apply_entry(std::move(entry), listed_at, events);
     }
     if (listed_at < keep_missing_until_)
         return events;
@@ -32,6 +32,7 @@
                       if (listed.contains(known.first))
                           return false;
                       auto const started_at_ms = known.second.started_at_ms;
+                      earlier_starts_.erase(known.first);
                       events.push_back({.change = endpoint_change::gone,
                                         .endpoint = std::move(known.second),
                                         .ended_process_started_at_ms = started_at_ms});
@@ -84,7 +85,18 @@
     listed_at_ = std::max(listed_at, listed_at_.value_or(listed_at));
 }
 
-void endpoint_catalog::apply_entry(endpoint_announcement entry,
+bool endpoint_catalog::outlasts_known(endpoint_announcement const& entry,
+                                      time_point listed_at)
+{
+    earlier_start const first{.started_at_ms = entry.started_at_ms,
+                              .listed_since = listed_at};
+    auto& noted = earlier_starts_.try_emplace(entry.id, first).first->second;
+    if (noted.started_at_ms != entry.started_at_ms)
+        noted = first;
+    return listed_at - noted.listed_since >= options_.earlier_start_delay;
+}
+
+void endpoint_catalog::apply_entry(endpoint_announcement entry, time_point listed_at,
                                    std::vector<endpoint_event>& events)
 {
     auto const found = endpoints_.find(entry.id);
@@ -97,8 +109,11 @@
     }
 
     auto& known = found->second;
-    if (entry.revision <= known.revision || entry.started_at_ms < known.started_at_ms)
+    if (entry.revision <= known.revision)
+        return;
+    if (entry.started_at_ms < known.started_at_ms && !outlasts_known(entry, listed_at))
         return;
+    earlier_starts_.erase(entry.id);
     auto const restarted = entry.started_at_ms != known.started_at_ms ||
                            entry.address != known.address || entry.port != known.port ||
                            entry.service != known.service;
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -54,6 +54,10 @@
         /// three missed announcements, 1.2 s apart, so that no entry of a live endpoint
         /// expires in a shorter outage.
         duration outage_threshold = std::chrono::milliseconds(2'400);
+        /// How long an entry with an earlier start than the known one must stay listed
+        /// until it counts. A live process writes again within its announcement interval
+        /// of 1.2 s, so that a late entry of an earlier one is gone by then.
+        duration earlier_start_delay = std::chrono::milliseconds(1'300);
         /// How long a process that said it is leaving is remembered.
         duration leaving_memory = std::chrono::minutes(10);
     };
@@ -125,16 +129,28 @@
         time_point noted_at;
     };
 
+    // An entry whose process started earlier than the known one
+    struct earlier_start
+    {
+        std::uint64_t started_at_ms = 0;
+        time_point listed_since;
+    };
+
+    // Whether an entry with an earlier start has been listed for so long that it counts
+    bool outlasts_known(endpoint_announcement const& entry, time_point listed_at);
     // Marks an entry as draining if its process said that it is leaving
     void apply_leaving(endpoint_announcement& entry) const;
     // Notes that service discovery was read, and whether it had been unavailable before
     void note_reading(time_point listed_at, time_point available_since);
     // Applies one entry of a listing and appends the change to `events`
-    void apply_entry(endpoint_announcement entry, std::vector<endpoint_event>& events);
+    void apply_entry(endpoint_announcement entry, time_point listed_at,
+                     std::vector<endpoint_event>& events);
 
     options options_;
     std::map<endpoint_id, endpoint_announcement> endpoints_;
     std::map<endpoint_id, leaving_process> leaving_;
+    // Entries that are ignored for now
+    std::map<endpoint_id, earlier_start> earlier_starts_;
     std::uint64_t revision_ = 0;
     std::uint64_t outages_ = 0;
     std::optional<time_point> listed_at_;
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -238,6 +238,8 @@
     // A field of a peer's answer in milliseconds
     static std::optional<duration> duration_field(http_fetch_result const& fetched,
                                                   char const* name);
+    // Logs the entries of a listing that name no endpoint and were not in the last one
+    void log_ignored_entries(endpoint_listing const& listing);
     // Applies a listing of the endpoints
     void apply_listing(endpoint_listing listing, std::string_view source);
     // Logs a change of an endpoint and tells all that depend on it
@@ -443,6 +445,8 @@
     // Whether `read_peer_operator` or `read_peer_listing` is waiting for a peer
     bool reading_peer_operator_ = false;
     bool reading_peer_listing_ = false;
+    // Entries of the last listing that name no endpoint
+    std::set<std::string> ignored_entries_;
     // Whether the store is read because others do not give what they have
     store_fallback fallback_{times_.fallback};
     // Highest age of the listing since it became old; zero while it is not
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -152,8 +152,7 @@
 void entry_node<Platform>::apply_listing(endpoint_listing listing,
                                          std::string_view source)
 {
-    for (auto const& key : listing.ignored)
-        log_event(event::store_entry_ignored, "key", key, "revision", listing.revision);
+    log_ignored_entries(listing);
     if (listing.revision >= catalog_.revision())
         relayed_listing_ = relay_text(std::move(listing.relayed));
     auto const previous = catalog_.listed_at();
@@ -169,6 +168,16 @@
     update_engines();
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::log_ignored_entries(endpoint_listing const& listing)
+{
+    for (auto const& key : listing.ignored)
+        if (!ignored_entries_.contains(key))
+            log_event(event::store_entry_ignored, "key", key, "revision",
+                      listing.revision);
+    ignored_entries_ = {listing.ignored.begin(), listing.ignored.end()};
+}
+
 template <entry_platform Platform>
 void entry_node<Platform>::apply_endpoint_change(endpoint_event const& change,
                                                  std::string_view source)
--- a/tests/unit/deployment/deployment_test.cpp
+++ b/tests/unit/deployment/deployment_test.cpp
@@ -124,6 +124,37 @@
     BOOST_TEST(!catalog.find(endpoint_id::of("e"))->draining);
 }
 
+// An entry of another writer with a start in the future hid all that the endpoint itself
+// wrote afterwards, that it leaves too
+BOOST_AUTO_TEST_CASE(an_earlier_start_that_stays_listed_counts)
+{
+    endpoint_catalog catalog({});
+    auto const id = endpoint_id::of("e");
+    catalog.apply_listing(at(0s), 10, {announce("e", 10, 5)});
+    catalog.apply_listing(at(800ms), 11, {announce("e", 11, 1'000'000)});
+    auto leaving = announce("e", 12, 5);
+    leaving.draining = true;
+    catalog.apply_listing(at(1'600ms), 12, {leaving});
+    catalog.apply_listing(at(2'400ms), 13, {leaving});
+    auto const events = catalog.apply_listing(at(3'200ms), 14, {leaving});
+    BOOST_REQUIRE(catalog.find(id));
+    BOOST_TEST(catalog.find(id)->draining);
+    BOOST_TEST(catalog.find(id)->started_at_ms == 5U);
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((events[0].change == endpoint_change::restarted));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_entry_of_an_earlier_process_changes_nothing)
+{
+    endpoint_catalog catalog({});
+    catalog.apply_listing(at(0s), 10, {announce("e", 10, 5)});
+    BOOST_TEST(catalog.apply_listing(at(800ms), 11, {announce("e", 11, 4)}).empty());
+    catalog.apply_listing(at(1'600ms), 12, {announce("e", 12, 5)});
+    // The time of the entry before does not count
+    BOOST_TEST(catalog.apply_listing(at(2'400ms), 13, {announce("e", 13, 4)}).empty());
+    BOOST_TEST(catalog.find(endpoint_id::of("e"))->started_at_ms == 5U);
+}
+
 // Hosts that saw the restart and hosts that saw the entry lapse counted two crashes
 BOOST_AUTO_TEST_CASE(a_restart_and_a_lapsed_entry_name_the_same_ended_process)
 {
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <platform/engine_client.hpp>
+#include <platform/json_fields.hpp>
 #include <platform/request_dialect.hpp>
 #include <platform/store_codec.hpp>
 #include <random>
@@ -98,7 +99,7 @@
 {
     auto const read = read_endpoint(endpoint_item(
         R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1","slots":64,
-            "state":"ready","coldLeftMs":0,"born":17,"remainingMs":1500,
+            "state":"ready","coldLeftMs":0,"sequence":4,"born":17,"remainingMs":1500,
             "models":[{"name":"m","version":1,"adapters":["a3@2","a4@1"]}]})"));
     BOOST_REQUIRE(read);
     BOOST_TEST(read->name == "i-1");
@@ -122,6 +123,99 @@
         BOOST_TEST(!read_endpoint(endpoint_item(value)), value);
 }
 
+// An odd entry of another writer was used in part, or ended what read it
+BOOST_AUTO_TEST_CASE(entries_with_missing_or_odd_fields_name_no_endpoint)
+{
+    namespace json = boost::json;
+    json::object const sound{{"service", "s"},    {"address", "10.1.0.9:8080"},
+                             {"zone", "z"},       {"version", "v1"},
+                             {"slots", 64},       {"state", "ready"},
+                             {"coldLeftMs", 2.5}, {"sequence", 4},
+                             {"born", 17}};
+    auto const read = [](json::object const& entry)
+    { return read_endpoint(endpoint_item(json::serialize(entry))); };
+    BOOST_REQUIRE(read(sound).has_value());
+    for (auto const* name : {"service", "address", "zone", "version", "slots", "state",
+                             "coldLeftMs", "sequence"})
+    {
+        auto entry = sound;
+        entry.erase(name);
+        BOOST_TEST(!read(entry), name);
+    }
+    std::vector<std::pair<char const*, json::value>> const odd{
+        {"address", "10.3.64.300:8088"},
+        {"address", "host:80"},
+        {"address", "10.1.0.9:0"},
+        {"address", "10.1.0.9:65536"},
+        {"address", "10.1.0.9:+80"},
+        {"address", "::1:80"},
+        {"version", 1},
+        {"slots", "64"},
+        {"slots", 0},
+        {"slots", -1},
+        {"slots", 4'294'967'296},
+        {"slots", 1e300},
+        {"slots", 2.5},
+        {"born", "17"},
+        {"born", -1},
+        {"born", 1e30},
+        {"born", 1.5},
+        {"born", nullptr},
+        {"sequence", true},
+        {"coldLeftMs", "0"},
+        {"coldLeftMs", -1},
+        {"models", "m"},
+        {"models", {1}},
+        {"zone", json::array{}},
+        {"state", 3}};
+    for (auto const& [name, value] : odd)
+    {
+        auto entry = sound;
+        entry[name] = value;
+        BOOST_TEST(!read(entry), name << " " << json::serialize(value));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_no_parser_can_take_name_no_endpoint)
+{
+    constexpr std::size_t depth = 200'000;
+    std::string const entry =
+        R"({"service":"s","address":"10.1.0.9:80","zone":"z","version":"v1","slots":6,)"
+        R"("state":"ready","coldLeftMs":0,"sequence":1,"x":)";
+    for (auto const& value :
+         {std::string(depth, '['), std::string(depth, '[') + std::string(depth, ']'),
+          std::string("1e999999999999999999999"), std::string(100'000, '9') + "e",
+          std::string("\"\xff\""), std::string("\"\\ud800\"")})
+        BOOST_TEST(!read_endpoint(endpoint_item(entry + value + "}")));
+    // A number that no field uses does no harm
+    BOOST_TEST(
+        read_endpoint(endpoint_item(entry + std::string(400, '9') + "}")).has_value());
+}
+
+// The name of an entry is sent to endpoints in a header
+BOOST_AUTO_TEST_CASE(an_entry_whose_name_does_not_fit_into_a_header_names_no_endpoint)
+{
+    std::string const value =
+        R"({"service":"s","address":"10.1.0.9:80","zone":"z","version":"v1","slots":6,)"
+        R"("state":"ready","coldLeftMs":0,"sequence":1})";
+    auto const read = [&](std::string const& name)
+    { return read_endpoint({.key = "servers/" + name, .value = value, .revision = 5}); };
+    BOOST_TEST(read("i-7f3a91c2").has_value());
+    for (std::string const& name :
+         {std::string("i\r\nX-Model: m"), std::string("i 1"), std::string("i\0", 2),
+          std::string("i\x80"), std::string("a/b\n"), std::string()})
+        BOOST_TEST(!read(name));
+}
+
+BOOST_AUTO_TEST_CASE(a_duration_that_no_clock_can_measure_is_none)
+{
+    boost::json::object const from{{"a", 1e300}, {"b", -1}, {"c", 1'500}, {"d", "1"}};
+    BOOST_TEST(!duration_member<std::chrono::milliseconds>(from, "a"));
+    BOOST_TEST(!duration_member<std::chrono::milliseconds>(from, "b"));
+    BOOST_TEST((duration_member<std::chrono::milliseconds>(from, "c") == 1'500ms));
+    BOOST_TEST(!duration_member<std::chrono::milliseconds>(from, "d"));
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_items_of_a_page_are_left_out)
 {
     auto const page = read_page(
