Do not take a second copy of an earlier answer for the next one

What operators of similar systems saw: callers were told that a request had not run which an engine was running, or it ran at a second engine, when an earlier refusal was written once more on a kept connection.

- Attempts of one request have the caller's identifier, so that the copy of a refusal fits the next attempt on the same connection.
Such connections are now kept from the request until it has ended.
- A refusal without an identifier was believed on a connection that had answered another request.
It is an invalid answer there, which says nothing about the request: its outcome is unknown.
- The late answer to a request was taken for the answer to an order, so that an unload that was refused counted as done.
Orders and reports skip answers that name a request.

Not covered: the answers of the sheet's engines and plain services name no request.

--- a/serving/endpoint/connection_pool.cpp
+++ b/serving/endpoint/connection_pool.cpp
@@ -90,6 +90,12 @@
 
 void connection_pool::put_back(directory_entry const& endpoint,
                                endpoint_connection connection)
+{
+    put_back(endpoint, std::move(connection), boot_now());
+}
+
+void connection_pool::put_back(directory_entry const& endpoint,
+                               endpoint_connection connection, time_point idle_since)
 {
     if (idle_count_ >= options_.max_idle)
         return;
@@ -97,7 +103,7 @@
     if (connections.size() >= options_.max_idle_per_endpoint)
         return;
     connections.push_back({.connection = std::move(connection),
-                           .idle_since = boot_now(),
+                           .idle_since = idle_since,
                            .address = endpoint.address});
     ++idle_count_;
 }
--- a/serving/endpoint/connection_pool.hpp
+++ b/serving/endpoint/connection_pool.hpp
@@ -52,8 +52,12 @@
     static boost::asio::awaitable<boost::system::error_code>
     connect(endpoint_connection connection, boost::asio::ip::tcp::endpoint address);
 
-    /// Returns a connection to the pool after an answer was read to its end. The
-    /// connection is dropped if the pool is full.
+    /// Returns a connection to the pool after an answer was read to its end, at
+    /// `idle_since`. The connection is dropped if the pool is full.
+    void put_back(directory_entry const& endpoint, endpoint_connection connection,
+                  time_point idle_since);
+
+    /// Returns a connection to the pool whose answer has just been read.
     void put_back(directory_entry const& endpoint, endpoint_connection connection);
 
     /// Number of idle connections.
--- a/serving/endpoint/http_fetch.hpp
+++ b/serving/endpoint/http_fetch.hpp
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace marjorampath::serving
 {
@@ -24,6 +25,9 @@
     std::size_t max_body_bytes = 4'000'000;
     /// Whether idle connections of a pool are not used.
     bool new_connection = false;
+    /// Header field by which answers to other requests are recognised on a connection of
+    /// a pool; empty if none can arrive.
+    std::string_view foreign_answer_field;
 };
 
 /// The answer, or the error that prevented it.
--- a/serving/endpoint/pooled_fetch.cpp
+++ b/serving/endpoint/pooled_fetch.cpp
@@ -21,27 +21,53 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// Most answers to other requests that are skipped on one connection
+constexpr unsigned max_skipped_answers = 2;
+
+// Whether an answer is to another request
+bool is_foreign(answer_reader const& reader, std::string_view field)
+{
+    return !field.empty() && reader.get_head().count(boost::beast::string_view(
+                                 field.data(), field.size())) > 0;
+}
+
+// Reads the answer, skipping answers to other requests
+asio::awaitable<void> read_answer(endpoint_connection connection,
+                                  http_fetch_options const& options,
+                                  pooled_fetch_result& result, bool& reusable)
+{
+    std::string early;
+    for (unsigned skipped = 0; skipped <= max_skipped_answers; ++skipped)
+    {
+        answer_reader reader(connection, std::move(early));
+        result.body.clear();
+        result.error = co_await reader.read_head();
+        if (!result.error)
+            result.error = co_await reader.read_rest(result.body, options.max_body_bytes);
+        if (result.error)
+            co_return;
+        early = reader.take_unparsed();
+        if (is_foreign(reader, options.foreign_answer_field))
+            continue;
+        result.status = reader.get_head().result_int();
+        reusable = reader.keep_alive() && early.empty();
+        co_return;
+    }
+    result.error = http::error::bad_status;
+}
+
 // Sends the request and reads the answer; `reusable` tells whether the connection can be
 // returned to the pool
 asio::awaitable<void> exchange(endpoint_connection connection,
                                http::request<http::string_body> const& request,
-                               std::size_t max_body_bytes, pooled_fetch_result& result,
-                               bool& reusable)
+                               http_fetch_options const& options,
+                               pooled_fetch_result& result, bool& reusable)
 {
     result.sent = true;
-    auto& error = result.error;
     co_await http::async_write(*connection, request,
-                               asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return;
-    answer_reader reader(connection);
-    error = co_await reader.read_head();
-    if (!error)
-        error = co_await reader.read_rest(result.body, max_body_bytes);
-    if (error)
-        co_return;
-    result.status = reader.get_head().result_int();
-    reusable = reader.keep_alive();
+                               asio::redirect_error(asio::use_awaitable, result.error));
+    if (!result.error)
+        co_await read_answer(connection, options, result, reusable);
 }
 
 } // namespace
@@ -75,7 +101,7 @@
     if (!is_pooled)
         result.error = co_await connection_pool::connect(connection, endpoint.address);
     if (!result.error)
-        co_await exchange(connection, request, options.max_body_bytes, result, reusable);
+        co_await exchange(connection, request, options, result, reusable);
     *timer_active = false;
     if (reusable && !result.error && connection->is_open())
         pool.put_back(endpoint, std::move(connection));
--- a/serving/entry/entry_dialect.hpp
+++ b/serving/entry/entry_dialect.hpp
@@ -27,7 +27,7 @@
                                  time_point now, endpoint_announcement const& endpoint,
                                  attempt_options const& options,
                                  answer_reader::head const& head, std::string_view name,
-                                 endpoint_verdict verdict,
+                                 bool reused, endpoint_verdict verdict,
                                  error_reply_options const& error)
 {
     // Parses a request; an error kind if it is rejected
@@ -47,9 +47,10 @@
         Dialect::forwarded_message(message, options)
         } -> std::same_as<caller_message>;
     // Classifies an endpoint's answer by its head, given the identifier of the caller's
-    // attempt and the name of the endpoint that the request was sent to
+    // attempt, the name of the endpoint that the request was sent to, and whether the
+    // connection answered requests before
     {
-        Dialect::classify_answer(head, name, name)
+        Dialect::classify_answer(head, name, name, reused)
         } -> std::same_as<endpoint_verdict>;
     // The request rate that an endpoint's head names
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -68,6 +68,14 @@
         bool expired = false;
     };
 
+    // A connection that answered an attempt of this request
+    struct used_connection
+    {
+        directory_entry endpoint;
+        endpoint_connection connection;
+        time_point idle_since;
+    };
+
     // Largest answer that is held in memory, in bytes; bounds the memory of one request
     static constexpr std::size_t max_held_bytes = 4'194'304;
     // Largest body that is skipped, in bytes
@@ -111,6 +119,10 @@
     // Connects to the endpoint, sends the request and reads the answer
     boost::asio::awaitable<attempt_end>
     send_and_receive(endpoint_announcement const& endpoint);
+    // Keeps the current connection for other requests
+    void keep_connection(directory_entry const& entry, attempt_end end);
+    // Returns the connections that this request may not use again to the pool
+    void release_connections();
     // Takes an idle connection to an endpoint or opens one; false if that fails
     boost::asio::awaitable<bool> connect(directory_entry const& endpoint,
                                          duration timeout);
@@ -224,6 +236,11 @@
     std::shared_ptr<attempt_timeout> timeout_;
     // Connection to the endpoint in use
     endpoint_connection connection_;
+    // Whether it answered another request before
+    bool connection_reused_ = false;
+    // Connections on which attempts were refused. Another copy of such a refusal would
+    // answer the next attempt, as all attempts of a request have the caller's identifier
+    std::vector<used_connection> used_connections_;
     // Endpoint of the current attempt
     endpoint_id current_endpoint_;
     // Software version that it announced when the attempt began
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -29,6 +29,7 @@
         co_await find_origin();
     while (!concluded_)
         co_await step();
+    release_connections();
     if (open_stream_)
         context_->forget_open_stream(*open_stream_);
     session_->unwatch_disconnect();
@@ -238,6 +239,7 @@
                               ? duration::max()
                               : context_->times.max_idle_non_idempotent;
     connection_ = context_->connections.take_idle(endpoint, max_idle);
+    connection_reused_ = connection_ != nullptr;
     if (connection_)
     {
         control_->set_connection(connection_);
@@ -328,6 +330,28 @@
     co_return co_await read_answer(endpoint, entry);
 }
 
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::keep_connection(directory_entry const& entry,
+                                              attempt_end end)
+{
+    auto connection = std::exchange(connection_, nullptr);
+    if (end == attempt_end::refused || end == attempt_end::adapter_missing)
+        used_connections_.push_back({.endpoint = entry,
+                                     .connection = std::move(connection),
+                                     .idle_since = boot_now()});
+    else
+        context_->connections.put_back(entry, std::move(connection));
+}
+
+template <entry_dialect Dialect>
+void entry_exchange<Dialect>::release_connections()
+{
+    for (auto& used : used_connections_)
+        context_->connections.put_back(used.endpoint, std::move(used.connection),
+                                       used.idle_since);
+    used_connections_.clear();
+}
+
 template <entry_dialect Dialect>
 bool entry_exchange<Dialect>::may_run_again() const
 {
--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -21,7 +21,8 @@
                                                           : attempt_end::lost);
 
         auto const verdict = Dialect::classify_answer(
-            reader.get_head(), request_.caller_attempt_id, endpoint.name);
+            reader.get_head(), request_.caller_attempt_id, endpoint.name,
+            connection_reused_ || skipped > 0);
         if (verdict == endpoint_verdict::other_request)
         {
             if (!reader.is_framed() || !co_await skip_body(reader))
@@ -53,7 +54,7 @@
             end = Dialect::to_attempt_end(verdict);
         }
         if (reader.keep_alive() && connection_->is_open() && !aborted())
-            context_->connections.put_back(entry, std::exchange(connection_, nullptr));
+            keep_connection(entry, end);
         co_return end;
     }
     co_return attempt_end::invalid_answer;
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -44,6 +44,8 @@
     std::string endless = {};
     // Pause between these
     duration pause{0};
+    // Bytes that are sent on this connection once another request was read from it
+    std::string late = {};
 };
 
 /// An endpoint that answers each request with the next answer of a script
@@ -80,6 +82,7 @@
     {
         boost::beast::flat_buffer buffer;
         error_code error;
+        std::string late;
         while (!answers_.empty())
         {
             caller_message request;
@@ -90,7 +93,8 @@
             requests.push_back(request);
             auto const answer = answers_.front();
             answers_.pop_front();
-            co_await asio::async_write(socket, asio::buffer(answer.text),
+            auto const text = std::exchange(late, answer.late) + answer.text;
+            co_await asio::async_write(socket, asio::buffer(text),
                                        asio::redirect_error(asio::use_awaitable, error));
             while (!answer.endless.empty() && !error)
             {
@@ -143,6 +147,13 @@
     return text;
 }
 
+inline std::string refusal_of(std::string const& id)
+{
+    return fmt::format("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                       "X-Attempt-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                       id);
+}
+
 inline std::string const refused =
     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
     "Content-Length: 0\r\n\r\n";
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -336,8 +336,14 @@
         {make_head(421, {{"X-Instance-Id", "i-7"}}), endpoint_verdict::adapter_missing},
     };
     for (auto const& each : examples)
+        BOOST_TEST((request_dialect::classify_answer(each.head, "9c41", "i-7", false) ==
+                    each.verdict));
+    // Without an identifier it may be the answer to an earlier request
+    for (auto const& [status, field] :
+         {std::pair{503, "X-Not-Executed"}, std::pair{421, "X-Instance-Id"}})
         BOOST_TEST(
-            (request_dialect::classify_answer(each.head, "9c41", "i-7") == each.verdict));
+            (request_dialect::classify_answer(make_head(status, {{field, "i-7"}}), "9c41",
+                                              "i-7", true) == endpoint_verdict::garbled));
 }
 
 BOOST_AUTO_TEST_CASE(a_rate_limit_is_a_finite_decimal_number)
