Let only streams continue a stream

What operators of similar systems saw: the text of an error stood among the events of a stream that had broken off and was continued elsewhere, or the stream ended as if it were complete.

In both nodes an error that came with status 200 and contained an empty line passed as events, and the stream ended as complete; errors with other statuses, framed or not, and heads that were cut did not enter it (tested for both now). Cause: what followed the head of a success was taken for events. Change: an answer continues a stream only if it has the media type of the stream, and its first event that is no comment must have an identifier.

--- a/marjorampath/dispatch/event_splitter.cpp
+++ b/marjorampath/dispatch/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include <marjorampath/dispatch/event_splitter.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace marjorampath
@@ -32,6 +33,19 @@
     return 0;
 }
 
+// Whether an event has only comments, which keep the connection open
+bool is_comment(std::string_view event)
+{
+    while (!event.empty())
+    {
+        auto const end = std::min(event.find('\n'), event.size() - 1);
+        if (end != 0 && event.front() != ':')
+            return false;
+        event.remove_prefix(end + 1);
+    }
+    return true;
+}
+
 } // namespace
 
 bool event_splitter::push(std::string_view bytes, std::string& output)
@@ -42,22 +56,28 @@
          end = partial_.find(event_end, begin))
     {
         auto const next = end + event_end.size();
-        emit(std::string_view(partial_).substr(begin, next - begin), output);
+        if (!emit(std::string_view(partial_).substr(begin, next - begin), output))
+            return false;
         begin = next;
     }
     partial_.erase(0, begin);
     return partial_.size() <= options_.max_event_bytes;
 }
 
-void event_splitter::emit(std::string_view event, std::string& output)
+bool event_splitter::emit(std::string_view event, std::string& output)
 {
     auto const id = id_of(event);
+    if (id == 0 && must_be_numbered_ && !is_comment(event))
+        return false;
+    if (id != 0)
+        must_be_numbered_ = false;
     if (id != 0 && id <= last_id_)
-        return;
+        return true;
     if (id != 0)
         last_id_ = id;
     ++event_count_;
     output += event;
+    return true;
 }
 
 } // namespace marjorampath
--- a/marjorampath/dispatch/event_splitter.hpp
+++ b/marjorampath/dispatch/event_splitter.hpp
@@ -28,18 +28,21 @@
     };
 
     /// Constructs a splitter for a new stream.
-    explicit event_splitter(options values) : options_(values), last_id_(values.last_id)
+    explicit event_splitter(options values)
+        : options_(values), last_id_(values.last_id), must_be_numbered_(last_id_ != 0)
     {
     }
 
     /// Adds received bytes and appends completed events to `output`. Returns false if an
-    /// incomplete event exceeds `max_event_bytes`.
+    /// incomplete event exceeds `max_event_bytes`, or if a continued stream begins with
+    /// an event that has no identifier: what was appended before is valid.
     bool push(std::string_view bytes, std::string& output);
 
     /// Drops an incomplete event, because another endpoint continues the stream.
     void restart()
     {
         partial_.clear();
+        must_be_numbered_ = last_id_ != 0;
     }
 
     /// Whether an incomplete event is buffered.
@@ -61,14 +64,17 @@
     }
 
 private:
-    // Outputs a complete event, unless its identifier shows that it was output before
-    void emit(std::string_view event, std::string& output);
+    // Outputs a complete event, unless its identifier shows that it was output before;
+    // false if it lacks an identifier that it must have
+    bool emit(std::string_view event, std::string& output);
 
     options options_;
     // Bytes of the incomplete event
     std::string partial_;
     // Identifier of the last complete event; zero for none
     std::uint64_t last_id_;
+    // Whether the next event that is no comment must have an identifier
+    bool must_be_numbered_;
     // Number of events output
     std::uint64_t event_count_ = 0;
 };
--- a/serving/engine/event_stream.cpp
+++ b/serving/engine/event_stream.cpp
@@ -75,6 +75,8 @@
     std::string_view data;
     // Whether the event reports an error
     bool error = false;
+    // Whether it has only comments, which keep the connection open
+    bool comment = true;
 };
 
 event_stream::event_fields event_stream::read_fields(std::string_view event)
@@ -85,6 +87,8 @@
         auto const end = event.find('\n');
         auto const line = event.substr(0, end);
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        auto const content = trimmed(line);
+        fields.comment = fields.comment && (content.empty() || content.front() == ':');
 
         if (line.starts_with("data:"))
             fields.data = trimmed(line.substr(5));
@@ -154,8 +158,15 @@
         return true;
     }
 
+    if (fields.id == 0 && must_be_numbered_ && !fields.comment)
+    {
+        state_ = event_stream_state::broken;
+        return false;
+    }
     if (fields.id != 0)
     {
+        must_be_numbered_ = false;
+
         // Drop duplicate events
         if (fields.id <= last_id_)
             return false;
@@ -216,6 +227,7 @@
 {
     partial_.clear();
     state_ = event_stream_state::open;
+    must_be_numbered_ = id_offset_ + last_id_ != 0;
 }
 
 void event_stream::restart()
--- a/serving/engine/event_stream.hpp
+++ b/serving/engine/event_stream.hpp
@@ -127,6 +127,9 @@
     bool text_complete_ = true;
     // Whether an event contained a finish reason
     bool generation_ended_ = false;
+    // Whether the next event with data must have a number, as those before an
+    // interruption had
+    bool must_be_numbered_ = false;
 };
 
 } // namespace marjorampath::serving
--- a/serving/engine/model_exchange.cpp
+++ b/serving/engine/model_exchange.cpp
@@ -1,5 +1,6 @@
 #include <serving/caller/caller_session.hpp>
 #include <serving/clock/boot_time.hpp>
+#include <serving/endpoint/media_type.hpp>
 #include <serving/engine/model_exchange.hpp>
 #include <serving/telemetry/log.hpp>
 
@@ -274,6 +275,9 @@
     auto const& head = reader.get_head();
     if (head.result() == http::status::ok)
     {
+        // What continues a stream must be one, too
+        if (head_sent_ && media_type(head) != stream_type_)
+            co_return handle_interruption(error_kind::endpoint_protocol, resuming);
         if (body_.streamed)
             co_return co_await relay_stream(reader);
         co_return co_await relay_whole(reader);
@@ -323,6 +327,7 @@
         head.set(http::field::cache_control, "no-cache");
         head.chunked(true);
         head_sent_ = true;
+        stream_type_ = media_type(reader.get_head());
         if (co_await session_->send_head(std::move(head)))
             control_->abort(error_kind::caller_gone);
     }
--- a/serving/engine/model_exchange.hpp
+++ b/serving/engine/model_exchange.hpp
@@ -122,6 +122,8 @@
     std::optional<directory_entry> endpoint_;
     // Whether the head of the answer was sent to the caller
     bool head_sent_ = false;
+    // Media type of a stream whose head was sent
+    std::string stream_type_;
 };
 
 } // namespace marjorampath::serving
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -6,6 +6,7 @@
 #include <serving/clock/boot_time.hpp>
 #include <serving/endpoint/answer_reader.hpp>
 #include <serving/endpoint/make_directory_entry.hpp>
+#include <serving/endpoint/media_type.hpp>
 #include <serving/entry/entry_context.hpp>
 #include <serving/entry/entry_dialect.hpp>
 #include <serving/entry/entry_request.hpp>
@@ -263,6 +264,8 @@
     bool answer_started_ = false;
     // Whether the head was sent to the caller
     bool head_sent_ = false;
+    // Media type of a stream whose head was sent to the caller
+    std::string stream_type_;
     // Whether the request was answered or failed
     bool concluded_ = false;
     // When the current attempt's request was sent
--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -110,16 +110,19 @@
     std::string events;
     error_code error;
     answer_framed_ = reader.is_framed();
+    if (head_sent_ && media_type(reader.get_head()) != stream_type_)
+        co_return attempt_end::invalid_answer;
     while (!error && (!reader.is_done() || reader.has_buffered_body()))
     {
         error = co_await reader.read_some(bytes);
         if (aborted())
             co_return attempt_end::cancelled;
-        if (!events_.push(bytes, events))
-            co_return attempt_end::invalid_answer;
+        auto const valid = events_.push(bytes, events);
         bytes.clear();
         if (!events.empty() && !co_await forward_events(reader, events))
             co_return attempt_end::cancelled;
+        if (!valid)
+            co_return attempt_end::invalid_answer;
         events.clear();
     }
     if (error)
@@ -159,6 +162,7 @@
                   "first_event_ms", (boot_now() - begin_).count() / 1'000'000);
         head_sent_ = true;
         begun_by_peer_ = at_peer_;
+        stream_type_ = media_type(reader.get_head());
         if (!at_peer_)
             pin_software_version();
         auto head = Dialect::caller_head(reader.get_head());
--- a/tests/unit/caller/exchange_test.cpp
+++ b/tests/unit/caller/exchange_test.cpp
@@ -271,6 +271,34 @@
     BOOST_TEST(answer.body().find("\"outcome\":\"unknown\"") != std::string::npos);
 }
 
+// The text of an error stood among the events of a stream
+BOOST_AUTO_TEST_CASE(no_byte_of_an_error_enters_a_stream_that_has_begun)
+{
+    std::string const body = "{\"error\":\n\n{\"message\":\"no room\"}}\n\n";
+    std::string const json = "Content-Type: application/json\r\n";
+    std::vector<std::string> const errors{
+        make_whole_answer(500, json, body),
+        "HTTP/1.1 500 X\r\n" + json + "\r\n" + body,
+        make_whole_answer(200, json, body),
+        "HTTP/1.1 200 X\r\n" + json + "\r\n" + body,
+        make_stream_answer(body) + last_chunk,
+        make_whole_answer(500, json, body).substr(0, 12),
+        body};
+    for (auto const& error : errors)
+        for (auto const restarted : {false, true})
+        {
+            std::deque<std::string> answers{make_stream_answer(make_events(1, 2)), error};
+            if (restarted)
+                answers.insert(answers.begin() + 1, make_whole_answer(409, "", "{}"));
+            exchange_fixture fixture(std::move(answers));
+            auto const answer = fixture.send_request(make_completion_request(true));
+            BOOST_TEST((fixture.error == http::error::partial_message), error);
+            auto const end = answer.body().find("event: error");
+            BOOST_TEST(answer.body().substr(0, end) == make_events(1, 2));
+            BOOST_TEST(answer.body().find("no room") == std::string::npos);
+        }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_is_retried_if_its_adapter_is_missing)
 {
     exchange_fixture fixture(
--- a/tests/unit/entry/entry_answer_test.cpp
+++ b/tests/unit/entry/entry_answer_test.cpp
@@ -3,6 +3,17 @@
 using namespace marjorampath;
 using namespace marjorampath::test;
 
+namespace
+{
+
+// A stream of two events that breaks off within the third
+std::string broken_stream()
+{
+    return stream_head() + chunk(events(1, 2)) + chunk("id: 3\nda");
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(entry_answers)
 
 // An endpoint wrote an earlier refusal once more, and the caller of the request that it
@@ -33,4 +44,50 @@
     BOOST_TEST(entry.servers[1]->requests.empty());
 }
 
+// The text of an error, or its head, stood among the events of a stream
+BOOST_AUTO_TEST_CASE(no_byte_of_an_error_enters_a_stream_that_has_begun)
+{
+    auto const body = std::string("{\"error\":\n\n \"no room\"}\n\n");
+    auto const head = [](std::string const& status, std::string const& more)
+    {
+        return "HTTP/1.1 " + status +
+               "\r\nX-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n"
+               "Content-Type: application/json\r\n" +
+               more + "\r\n";
+    };
+    auto const length = fmt::format("Content-Length: {}\r\n", body.size());
+    auto const chunked = std::string("Transfer-Encoding: chunked\r\n");
+    auto const not_run = std::string("X-Not-Executed: 1\r\n");
+    for (auto const& error :
+         {head("500 Internal Server Error", length) + body,
+          head("500 Internal Server Error", "") + body,
+          head("500 Internal Server Error", chunked) + chunk(body),
+          head("503 Service Unavailable", not_run + length) + body,
+          head("503 Service Unavailable", not_run) + body, head("200 OK", length) + body,
+          head("200 OK", "") + body, head("200 OK", chunked) + chunk(body) + chunk(""),
+          head("500 Internal Server Error", length).substr(0, 60), body,
+          stream_head() + chunk(body) + chunk("")})
+    {
+        entry_fixture entry({{broken_stream()}}, {{error}});
+        auto const answer = entry.send_request(http::verb::post, "/resumable/x");
+        BOOST_TEST(contains(answer, events(1, 1)), error);
+        BOOST_TEST(contains(answer, "id: 2"), error);
+        BOOST_TEST(!contains(answer, "no room"), error);
+        BOOST_TEST(!contains(answer, "error"), error);
+        BOOST_TEST(!contains(answer.substr(9), "HTTP/1.1"), error);
+        BOOST_TEST(!answer.ends_with("0\r\n\r\n"), error);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(events_before_invalid_bytes_are_not_missing)
+{
+    std::string const endless(300'000, 'x');
+    entry_fixture entry({{stream_head() + chunk(events(1, 2) + endless)}},
+                        {{stream_head() + chunk(events(3, 4)) + chunk("")}});
+    auto const answer = entry.send_request(http::verb::post, "/resumable/x");
+    for (auto const* event : {"id: 1\n", "id: 2\n", "id: 3\n", "id: 4\n"})
+        BOOST_TEST(contains(answer, event), event);
+    BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
