--- a/serving/endpoint/media_type.hpp
+++ b/serving/endpoint/media_type.hpp
@@ -5,7 +5,6 @@
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/algorithm/string/trim.hpp>
 
-#include <algorithm>
 #include <string>
 
 namespace marjorampath::serving
--- a/tests/unit/entry/entry_answer_test.cpp
+++ b/tests/unit/entry/entry_answer_test.cpp
@@ -50,10 +50,9 @@
     auto const body = std::string("{\"error\":\n\n \"no room\"}\n\n");
     auto const head = [](std::string const& status, std::string const& more)
     {
-        return "HTTP/1.1 " + status +
-               "\r\nX-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n"
-               "Content-Type: application/json\r\n" +
-               more + "\r\n";
+        return fmt::format("HTTP/1.1 {}\r\nX-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n"
+                           "Content-Type: application/json\r\n{}\r\n",
+                           status, more);
     };
     auto const length = fmt::format("Content-Length: {}\r\n", body.size());
     auto const chunked = std::string("Transfer-Encoding: chunked\r\n");
