--- a/tests/unit/entry/entry_answer_test.cpp
+++ b/tests/unit/entry/entry_answer_test.cpp
@@ -56,6 +56,7 @@
     };
     auto const length = fmt::format("Content-Length: {}\r\n", body.size());
     auto const chunked = std::string("Transfer-Encoding: chunked\r\n");
+    auto const chunks = chunk(body) + chunk("");
     auto const not_run = std::string("X-Not-Executed: 1\r\n");
     for (auto const& error :
          {head("500 Internal Server Error", length) + body,
@@ -63,9 +64,9 @@
           head("500 Internal Server Error", chunked) + chunk(body),
           head("503 Service Unavailable", not_run + length) + body,
           head("503 Service Unavailable", not_run) + body, head("200 OK", length) + body,
-          head("200 OK", "") + body, head("200 OK", chunked) + chunk(body) + chunk(""),
+          head("200 OK", "") + body, head("200 OK", chunked) + chunks,
           head("500 Internal Server Error", length).substr(0, 60), body,
-          stream_head() + chunk(body) + chunk("")})
+          stream_head() + chunks})
     {
         entry_fixture entry({{broken_stream()}}, {{error}});
         auto const answer = entry.send_request(http::verb::post, "/resumable/x");
