--- a/serving/endpoint/answer_reader.hpp
+++ b/serving/endpoint/answer_reader.hpp
@@ -17,6 +17,9 @@
 /// Maximum size of the head of an endpoint's answer, in bytes.
 inline constexpr std::uint32_t max_answer_head_bytes = 65'536;
 
+/// Most answers to other requests that are skipped on one connection.
+inline constexpr unsigned max_skipped_answers = 2;
+
 /// Size of the read buffer, in bytes.
 inline constexpr std::size_t answer_read_bytes = 4'096;
 
--- a/serving/endpoint/pooled_fetch.cpp
+++ b/serving/endpoint/pooled_fetch.cpp
@@ -21,9 +21,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-// Most answers to other requests that are skipped on one connection
-constexpr unsigned max_skipped_answers = 2;
-
 // Whether an answer is to another request
 bool is_foreign(answer_reader const& reader, std::string_view field)
 {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -81,8 +81,6 @@
     static constexpr std::size_t max_held_bytes = 4'194'304;
     // Largest body that is skipped, in bytes
     static constexpr std::size_t max_skipped_bytes = 65'536;
-    // Most answers to other requests that are skipped on one connection
-    static constexpr unsigned max_skipped_answers = 2;
     // Most attempts of one request, including refused ones
     static constexpr unsigned max_sends = 5;
     // Most status requests before one decision; afterwards the decision is executed even
--- a/serving/entry/entry_exchange_forward.inl
+++ b/serving/entry/entry_exchange_forward.inl
@@ -102,7 +102,8 @@
 {
     // What is neither an endpoint's answer nor a success is an error answer of the host
     auto const& head = reader.get_head();
-    auto const verdict = Dialect::classify_answer(head, request_.caller_attempt_id, {}, false);
+    auto const verdict =
+        Dialect::classify_answer(head, request_.caller_attempt_id, {}, false);
     auto const succeeded = boost::beast::http::to_status_class(head.result()) ==
                            boost::beast::http::status_class::successful;
     if (verdict == endpoint_verdict::other_request ||
