Log what a host has and serves when a read of the operator's data fails

A host that answers by an old configuration may lack the newest one or may have it without serving by it. operator_read_failed now tells the host's revision of the operator's data and the version of the configuration in force, so that the two can be told apart.

--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -95,7 +95,9 @@
 
         log_event(event::operator_read_failed, "error", update.error.message(), "after",
                   watched_revision_, "bytes", update.received, "took_ms",
-                  (boot_now() - requested_at).count() / 1'000'000);
+                  (boot_now() - requested_at).count() / 1'000'000, "revision",
+                  source_.operator_data().revision, "config",
+                  context_.routes ? context_.routes->source().version : 0);
         // After any failure the store may no longer have the changes since this revision,
         // so everything is read again
         watched_revision_ = 0;
