Show that a failed read of the operator's data counts as known

Seen by callers: 404 for routes of a configuration that has been in force for seconds. The stand-in for the store answers in pages of a set size, of which later ones may fail.

--- a/tests/unit/peer/listing_fleet_test.cpp
+++ b/tests/unit/peer/listing_fleet_test.cpp
@@ -73,6 +73,26 @@
     BOOST_TEST(fleet.hosts_behind() == 0);
 }
 
+// Nobody read it where the hosts that read the store had all lost it: no host's heartbeat
+// showed that there was anything new
+BOOST_AUTO_TEST_CASE(
+    what_the_operator_writes_is_in_force_where_all_readers_lose_the_store)
+{
+    listing_fleet fleet({.seed = 7});
+    fleet.run(start_time);
+    std::set<std::uint32_t> readers;
+    for (std::uint32_t index = 0; index < fleet.host_count(); ++index)
+        if (fleet.is_reader(index))
+            readers.insert(index);
+    fleet.fail_store([&](std::uint32_t index) { return readers.contains(index); });
+    for (int change = 0; change < 5; ++change)
+    {
+        fleet.publish();
+        fleet.run(apply_bound);
+        BOOST_TEST(fleet.hosts_behind() == 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hosts_with_sound_links_leave_the_store_to_its_readers)
 {
     constexpr std::size_t readers = 8;
--- /dev/null
+++ b/tests/unit/platform/store_client_test.cpp
@@ -0,0 +1,133 @@
+#include <tests/unit/platform/store_fixture.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace marjorampath;
+using namespace marjorampath::test;
+
+namespace
+{
+
+// Of such pages the configuration fills the first one
+constexpr std::size_t page_items = 1;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(store_clients, store_fixture)
+
+BOOST_AUTO_TEST_CASE(all_pages_of_a_read_are_joined)
+{
+    write_configuration(1);
+    write_version("a1", 4);
+    write_version("a2", 5);
+    set_pages(page_items, false);
+    auto client = make_client();
+    auto const update = run(client.read_operator());
+    BOOST_TEST(!update.error);
+    BOOST_REQUIRE(update.configuration);
+    BOOST_TEST(update.configuration->version == 1U);
+    BOOST_TEST(update.versions.size() == 2U);
+}
+
+// A host counted the configuration of a read that failed later as known, told others so,
+// and went on with the one before: nobody sent it again
+BOOST_AUTO_TEST_CASE(what_a_failed_read_brought_does_not_count_as_all_that_is_known)
+{
+    write_configuration(1);
+    write_version("a1", 4);
+    auto client = make_client();
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    auto const before = client.operator_data();
+
+    write_configuration(2);
+    write_version("a1", 5);
+    set_pages(page_items, true);
+    auto const failed = run(client.read_operator());
+    BOOST_TEST(static_cast<bool>(failed.error));
+    BOOST_TEST(client.operator_data().revision == before.revision);
+
+    set_pages(page_items, false);
+    auto const whole = run(client.read_operator());
+    BOOST_TEST(!whole.error);
+    BOOST_TEST(client.operator_data().revision == before.revision + 2);
+    BOOST_TEST(whole.versions.size() == 1U);
+}
+
+// What a failed read brought is handed over, so that it can be put in force at once
+BOOST_AUTO_TEST_CASE(the_pages_before_a_failed_one_are_handed_over)
+{
+    write_configuration(2);
+    write_version("a1", 5);
+    set_pages(page_items, true);
+    auto client = make_client();
+    auto const failed = run(client.read_operator());
+    BOOST_TEST(static_cast<bool>(failed.error));
+    BOOST_REQUIRE(failed.configuration);
+    BOOST_TEST(failed.configuration->version == 2U);
+}
+
+// A host that had lost a page answered others as if it had all of it
+BOOST_AUTO_TEST_CASE(a_host_that_lacks_a_page_does_not_pass_on_that_it_has_all)
+{
+    write_configuration(1);
+    write_version("a1", 4);
+    auto sender = make_client();
+    auto receiver = make_client();
+    BOOST_REQUIRE(!run(sender.read_operator()).error);
+    BOOST_REQUIRE(!run(receiver.read_operator()).error);
+    auto const before = receiver.operator_data();
+
+    write_version("a1", 5);
+    write_configuration(2);
+    set_pages(page_items, true);
+    BOOST_REQUIRE(run(sender.read_operator()).error);
+    auto const update = receiver.read_relayed_operator(sender.relay_operator(before));
+    BOOST_REQUIRE(update.configuration);
+    BOOST_TEST(update.configuration->version == 2U);
+    BOOST_TEST(receiver.operator_data().revision == before.revision);
+}
+
+// A text for others was kept although a later read had added items below its position
+BOOST_AUTO_TEST_CASE(the_position_of_a_host_stands_for_all_changes_up_to_it)
+{
+    write_configuration(1);
+    auto sender = make_client();
+    BOOST_REQUIRE(!run(sender.read_operator()).error);
+    auto const before = sender.operator_data();
+
+    write_version("a1", 5);
+    write_configuration(2);
+    set_pages(page_items, true);
+    BOOST_REQUIRE(run(sender.read_operator()).error);
+    auto const partly = sender.operator_data();
+    set_pages(page_items, false);
+    BOOST_REQUIRE(!run(sender.read_operator()).error);
+    BOOST_TEST((sender.operator_data() != partly));
+
+    auto receiver = make_client();
+    auto const update = receiver.read_relayed_operator(sender.relay_operator(before));
+    BOOST_TEST(update.versions.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_parsed_hides_no_later_one)
+{
+    write_configuration(1);
+    auto client = make_client();
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    call_store(fmt::format("/standin/put?key={}", platform::configuration_key), "{");
+    auto const odd = run(client.read_operator());
+    BOOST_TEST(!odd.error);
+    BOOST_TEST(!odd.configuration);
+    BOOST_TEST(odd.ignored.size() == 1U);
+
+    // The bytes themselves reach hosts of a build that can parse them
+    auto other = make_client();
+    BOOST_TEST(other.read_relayed_operator(client.relay_operator({})).ignored.size() ==
+               1U);
+    write_configuration(2);
+    auto const next = run(client.read_operator());
+    BOOST_REQUIRE(next.configuration);
+    BOOST_TEST(next.configuration->version == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
