Test that answers cut in their head never look whole

Reported from elsewhere: an engine that stopped in the middle of its answer's head and closed; callers got a success with an empty or short body, framed as whole. Ruled out here, by cuts at each byte of the head of framed, chunked and unframed answers: at both nodes, on new and kept connections, behind an answer to another request, and in what hosts pass on to each other. All end in 502 with the outcome unknown.

--- a/tests/unit/caller/exchange_test.cpp
+++ b/tests/unit/caller/exchange_test.cpp
@@ -319,6 +319,27 @@
                "{\"x\":1}");
 }
 
+// Elsewhere callers got a success with an empty body, framed as whole
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_in_its_head_never_looks_whole)
+{
+    std::vector<caller_message> const requests{make_completion_request(false),
+                                               make_completion_request(true),
+                                               make_plain_request(http::verb::post)};
+    std::vector<std::string> const answers{
+        make_whole_answer(200, "", "{\"x\":1}"), "HTTP/1.1 200 X\r\nA: b\r\n\r\nwhole",
+        make_stream_answer(make_events(1, 2) + done_event) + last_chunk};
+    for (auto const& request : requests)
+        for (auto const& whole : answers)
+            for (std::size_t size = 1; size < whole.find("\r\n\r\n") + 4; ++size)
+            {
+                exchange_fixture fixture({whole.substr(0, size)});
+                fixture.grants_left = 1;
+                auto const answer = fixture.send_request(request);
+                BOOST_TEST(answer.result_int() >= 500U, whole.substr(0, size));
+                BOOST_TEST(answer["X-Outcome"] == "unknown", whole.substr(0, size));
+            }
+}
+
 BOOST_AUTO_TEST_CASE(a_non_idempotent_request_is_written_once)
 {
     exchange_fixture fixture({"", make_whole_answer(200, "", "again")});
--- a/tests/unit/entry/entry_answer_test.cpp
+++ b/tests/unit/entry/entry_answer_test.cpp
@@ -12,10 +12,66 @@
     return stream_head() + chunk(events(1, 2)) + chunk("id: 3\nda");
 }
 
+// The beginnings of an answer that end within its head
+std::vector<std::string> cut_heads(std::string const& answer)
+{
+    std::vector<std::string> cuts;
+    auto const head_size = answer.find("\r\n\r\n") + 4;
+    for (std::size_t size = 1; size < head_size; ++size)
+        cuts.push_back(answer.substr(0, size));
+    return cuts;
+}
+
+// An answer whose length is the end of the connection
+std::string const unframed_answer =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Seal: s\r\n\r\nwhole";
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(entry_answers)
 
+// Elsewhere callers got a success with an empty body, framed as whole
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_in_its_head_never_looks_whole)
+{
+    for (auto const& whole : {sealed("whole"), unframed_answer, stream_head()})
+        for (auto const& cut : cut_heads(whole))
+            for (auto const* path : {"/unsafe/x", "/stream/x"})
+            {
+                entry_fixture entry({{cut}}, {});
+                auto const answer = entry.send_request(http::verb::post, path);
+                BOOST_TEST(answer.starts_with("HTTP/1.1 502"), cut);
+                BOOST_TEST(contains(answer, "X-Outcome: unknown"), cut);
+                BOOST_TEST(!contains(answer, "X-Server-Seal"), cut);
+            }
+}
+
+BOOST_AUTO_TEST_CASE(a_second_answer_on_a_connection_that_is_cut_in_its_head_is_not_whole)
+{
+    for (auto const& whole : {sealed("second"), unframed_answer})
+        for (auto const& cut : cut_heads(whole))
+        {
+            entry_fixture entry({{.text = sealed("first"), .closes = false}, {cut}}, {});
+            BOOST_TEST(
+                entry.send_request(http::verb::post, "/unsafe/x").ends_with("first"));
+            entry.done = false;
+            auto const answer = entry.send_request(http::verb::post, "/unsafe/x");
+            BOOST_TEST(answer.starts_with("HTTP/1.1 502"), cut);
+            BOOST_TEST(contains(answer, "X-Outcome: unknown"), cut);
+        }
+}
+
+// An answer to another request goes before the one that is cut
+BOOST_AUTO_TEST_CASE(an_answer_behind_a_foreign_one_that_is_cut_in_its_head_is_not_whole)
+{
+    for (auto const& cut : cut_heads(sealed("mine")))
+    {
+        entry_fixture entry({{sealed("foreign", {}, "other") + cut}}, {});
+        auto const answer = entry.send_request(http::verb::post, "/unsafe/x");
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"), cut);
+        BOOST_TEST(!contains(answer, "foreign"), cut);
+    }
+}
+
 // An endpoint wrote an earlier refusal once more, and the caller of the request that it
 // was running was told that it had not run
 BOOST_AUTO_TEST_CASE(a_second_copy_of_a_refusal_does_not_refuse_the_next_attempt)
--- a/tests/unit/entry/entry_forward_test.cpp
+++ b/tests/unit/entry/entry_forward_test.cpp
@@ -108,6 +108,20 @@
         refused.send_request(http::verb::get, "/safe/x").starts_with("HTTP/1.1 502"));
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_another_host_that_is_cut_in_its_head_is_not_whole)
+{
+    for (auto const& whole : {sealed("from a peer"), stream_head()})
+        for (std::size_t size = 1; size < whole.find("\r\n\r\n") + 4; ++size)
+            for (auto const* path : {"/unsafe/x", "/stream/x"})
+            {
+                cut_fixture entry({{whole.substr(0, size)}}, {});
+                entry.cut();
+                auto const answer = entry.send_request(http::verb::post, path);
+                BOOST_TEST(answer.starts_with("HTTP/1.1 502"), whole.substr(0, size));
+                BOOST_TEST(contains(answer, "X-Outcome: unknown"));
+            }
+}
+
 BOOST_AUTO_TEST_CASE(a_host_that_takes_no_connection_is_passed_over)
 {
     cut_fixture entry({}, {{sealed("from the second")}});
