Count operator data as known only up to what is complete and handed over

What callers saw: 404 for routes of a configuration in force, for as long as no further change came. Cause: store_client kept the items of the pages that a failed read had brought, and named the greatest revision of any item as the host's position, while the update that held them was dropped. Then nobody seemed to have anything newer: the lag was cleared, relays left the configuration out, and hosts that read from this one took its position for their own. Change: operator_items keeps the items with the revision of the store up to which all changes are known. Only a whole read, a watch that starts within it, or another host's copy raises that; the position is the newest change up to it. What a failed read brought is handed over and put in force at once. Removals are passed on, or hosts that did not see them would lag for ever. A range whose pages cannot all be read is an error; it was taken as whole behind 40 pages.

--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -86,10 +86,11 @@
         if (finished_)
             break;
         fallback_.on_operator_read(!update.error, boot_now());
+        // What arrived before a failure counts as handed over
+        apply_operator_update(update, "store");
         if (!update.error)
         {
             watched_revision_ = update.revision;
-            apply_operator_update(update, "store");
             continue;
         }
 
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -4,11 +4,11 @@
 #include <marjorampath/deployment/adapter_version.hpp>
 #include <marjorampath/deployment/deployment.hpp>
 #include <marjorampath/deployment/endpoint_announcement.hpp>
+#include <marjorampath/operator_data/operator_position.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
-#include <compare>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -41,7 +41,8 @@
     std::string relayed;
 };
 
-/// All that the operator published, or the changes since a revision.
+/// All that the operator published, or the changes since a revision. What arrived before
+/// a read failed is valid, but not all that was asked for.
 struct operator_update
 {
     /// Set if the read failed.
@@ -58,17 +59,6 @@
     std::vector<std::string> ignored;
 };
 
-/// What a host has of the data that the operator published.
-struct operator_position
-{
-    /// Newest revision among the items.
-    std::uint64_t revision = 0;
-    /// Revision of the configuration, by far the largest item.
-    std::uint64_t configuration_revision = 0;
-
-    friend auto operator<=>(operator_position const&, operator_position const&) = default;
-};
-
 /// A source of an entry host's view of the platform: the endpoints, the operator's
 /// configuration and the adapter versions. It reads them from the store, and writes and
 /// parses the copies that hosts relay to each other.
@@ -94,7 +84,7 @@
     {
         source.read_relayed_endpoints(relayed)
         } -> std::same_as<endpoint_listing>;
-    // What this host has of the operator's data
+    // How far this host has the operator's data; of what all updates handed over
     {
         source.operator_data()
         } -> std::same_as<operator_position>;
