Read the operator's data where no host that is heard has a recent listing

What callers would see: an old configuration at all hosts of a zone, or of the fleet, whose readers of the store have lost it while the others reach it. Cause: hosts that do not read the store regularly read the operator's data only where a heartbeat shows something newer. Where all that they hear are as old as they are, nobody shows it. The listing had a bound on its age instead. Change: a host that reads the listing itself because no younger one is to be had reads the operator's data too. Answers with the listing tell the last change of the operator and the revision up to which its sender has all of them, so that such a read asks for the changes behind that revision only. Older builds send neither field and ignore both.

--- a/marjorampath/peer/store_fallback.cpp
+++ b/marjorampath/peer/store_fallback.cpp
@@ -21,20 +21,24 @@
 
 bool store_fallback::wants_operator(time_point now) const
 {
-    return lags_since_ && now - *lags_since_ >= options_.max_operator_lag &&
-           now >= operator_.next_at;
+    auto const lags = lags_since_ && now - *lags_since_ >= options_.max_operator_lag;
+    return (lags || others_are_old_) && now >= operator_.next_at;
 }
 
-void store_fallback::on_listing_read(bool succeeded, time_point now)
+void store_fallback::on_listing_read(bool succeeded, duration listing_age,
+                                     time_point now)
 {
     on_read(listing_, succeeded, now);
+    others_are_old_ = others_are_old_ || listing_age >= options_.max_listing_age;
 }
 
 void store_fallback::on_operator_read(bool succeeded, time_point now)
 {
     on_read(operator_, succeeded, now);
-    if (succeeded)
-        lags_since_.reset();
+    if (!succeeded)
+        return;
+    lags_since_.reset();
+    others_are_old_ = false;
 }
 
 void store_fallback::on_read(schedule& reads, bool succeeded, time_point now) const
--- a/marjorampath/peer/store_fallback.hpp
+++ b/marjorampath/peer/store_fallback.hpp
@@ -37,11 +37,14 @@
     /// Notes whether another host has newer data of the operator than this one.
     void note_operator_lag(bool lags, time_point now);
 
-    /// Whether the operator's data should be read from the store.
+    /// Whether the operator's data should be read from the store: others have had newer
+    /// data for a while, or had no recent listing, so that they may know of no newer data
+    /// either.
     [[nodiscard]] bool wants_operator(time_point now) const;
 
-    /// Notes the end of a read of the listing from the store.
-    void on_listing_read(bool succeeded, time_point now);
+    /// Notes the end of a read of the listing from the store, and the age of the listing
+    /// before it.
+    void on_listing_read(bool succeeded, duration listing_age, time_point now);
 
     /// Notes the end of a read of the operator's data from the store.
     void on_operator_read(bool succeeded, time_point now);
@@ -61,6 +64,8 @@
     options options_;
     schedule listing_;
     schedule operator_;
+    // Whether others had no recent listing at the last read of it
+    bool others_are_old_ = false;
     // Since when others have newer data of the operator
     std::optional<time_point> lags_since_;
 };
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -123,6 +123,10 @@
     // Header with the time for which the store is known to have been available, in
     // milliseconds
     static constexpr char const* available_for_header = "Store-Available-Ms";
+    // Headers with the last change of the operator that a host has, and the revision of
+    // the store up to which it has all changes
+    static constexpr char const* operator_change_header = "Operator-Change";
+    static constexpr char const* operator_complete_header = "Operator-Complete";
     // Fields that a host adds to a request that it passes on, in bytes
     static constexpr std::uint32_t max_forward_fields_bytes = 1'024;
     // Callers may open this many times as many connections as other hosts that pass
@@ -170,6 +174,10 @@
         duration age{0};
         // Time for which the peer knows of no outage of the store
         duration available_for{0};
+        // Last change of the operator that the peer has, and the revision of the store up
+        // to which it has all changes; zero from builds that do not say so
+        std::uint64_t operator_change = 0;
+        std::uint64_t operator_complete = 0;
     };
 
     // The operator's data as text for hosts that have it up to a position
@@ -235,6 +243,9 @@
                                               caller_answer answer, relay_text& text);
     // What another host has of the operator's data, by the path that it reads
     static operator_position read_operator_position(std::string_view path);
+    // A number in a field of a peer's answer
+    static std::optional<std::uint64_t> number_field(http_fetch_result const& fetched,
+                                                     char const* name);
     // A field of a peer's answer in milliseconds
     static std::optional<duration> duration_field(http_fetch_result const& fetched,
                                                   char const* name);
@@ -424,8 +435,8 @@
     // Hosts from which the last reads failed
     relay_failures failed_operator_relays_;
     relay_failures failed_listing_relays_;
-    // Revision after which the operator's data is watched; zero to read all of it
-    std::uint64_t watched_revision_ = 0;
+    // Whether the last read of the operator's data failed, so that all of it is read
+    bool last_watch_failed_ = false;
     // Requests of other hosts in flight at plain endpoints
     std::map<endpoint_id, std::map<host_id, std::uint32_t>> others_in_flight_;
     // Engines with requests of this host in flight at the last report to their holders
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -46,6 +46,9 @@
         answer.set(listing_age_header, milliseconds_since(*catalog_.listed_at()));
         answer.set(available_for_header, milliseconds_since(*catalog_.available_since()));
     }
+    answer.set(operator_change_header, fmt::to_string(source_.operator_data().revision));
+    answer.set(operator_complete_header,
+               fmt::to_string(source_.operator_complete_revision()));
     if (message[http::field::if_none_match] == listing_tag(catalog_.revision()))
     {
         answer.result(http::status::not_modified);
@@ -100,17 +103,27 @@
     return fmt::format("\"{}\"", revision);
 }
 
+template <entry_platform Platform>
+std::optional<std::uint64_t>
+entry_node<Platform>::number_field(http_fetch_result const& fetched, char const* name)
+{
+    auto const text = fetched.answer[name];
+    std::uint64_t number = 0;
+    auto const read = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || read.ec != std::errc{})
+        return std::nullopt;
+    return number;
+}
+
 template <entry_platform Platform>
 std::optional<duration>
 entry_node<Platform>::duration_field(http_fetch_result const& fetched, char const* name)
 {
-    auto const text = fetched.answer[name];
-    std::int64_t milliseconds = 0;
-    auto const read =
-        std::from_chars(text.data(), text.data() + text.size(), milliseconds);
-    if (text.empty() || read.ec != std::errc{} || milliseconds < 0)
+    constexpr std::uint64_t longest_ms = 86'400'000;
+    auto const number = number_field(fetched, name);
+    if (!number)
         return std::nullopt;
-    return std::chrono::milliseconds(milliseconds);
+    return std::chrono::milliseconds(std::min(*number, longest_ms));
 }
 
 template <entry_platform Platform>
@@ -167,7 +180,9 @@
         .unchanged = fetched.answer.result() == http::status::not_modified,
         .age = age + took,
         .available_for =
-            duration_field(fetched, available_for_header).value_or(age) + took};
+            duration_field(fetched, available_for_header).value_or(age) + took,
+        .operator_change = number_field(fetched, operator_change_header).value_or(0),
+        .operator_complete = number_field(fetched, operator_complete_header).value_or(0)};
 }
 
 template <entry_platform Platform>
@@ -256,6 +271,7 @@
     if (!relayed)
         co_return;
     auto const now = boot_now();
+    source_.confirm_operator(relayed->operator_change, relayed->operator_complete);
     if (relayed->unchanged)
         co_return catalog_.confirm_listing(now - relayed->age, known,
                                            now - relayed->available_for);
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -31,7 +31,9 @@
             break;
         update_store_state(listing.error);
         auto const failed = static_cast<bool>(listing.error);
-        fallback_.on_listing_read(!failed, boot_now());
+        fallback_.on_listing_read(!failed, listing_age(requested_at), boot_now());
+        if (fallback_.wants_operator(boot_now()))
+            watch_timer_.cancel();
         if (!failed)
             apply_listing(std::move(listing), "store");
         co_await wait_for(listing_timer_,
@@ -72,36 +74,33 @@
     {
         if (!reads_operator_from_store(boot_now()))
         {
-            watched_revision_ = 0;
             co_await wait_for(watch_timer_, times_.read_pause);
             continue;
         }
         auto const requested_at = boot_now();
+        auto const after =
+            last_watch_failed_ ? 0 : source_.operator_complete_revision();
         operator_update update;
-        if (watched_revision_ == 0)
+        if (after == 0)
             update = co_await source_.read_operator();
         else
-            update =
-                co_await source_.watch_operator(watched_revision_, times_.watch_wait);
+            update = co_await source_.watch_operator(after, times_.watch_wait);
         if (finished_)
             break;
         fallback_.on_operator_read(!update.error, boot_now());
         // What arrived before a failure counts as handed over
         apply_operator_update(update, "store");
+        // After any failure the store may no longer have the changes since this revision,
+        // so everything is read again
+        last_watch_failed_ = static_cast<bool>(update.error);
         if (!update.error)
-        {
-            watched_revision_ = update.revision;
             continue;
-        }
 
         log_event(event::operator_read_failed, "error", update.error.message(), "after",
-                  watched_revision_, "bytes", update.received, "took_ms",
+                  after, "bytes", update.received, "took_ms",
                   (boot_now() - requested_at).count() / 1'000'000, "revision",
                   source_.operator_data().revision, "config",
                   context_.routes ? context_.routes->source().version : 0);
-        // After any failure the store may no longer have the changes since this revision,
-        // so everything is read again
-        watched_revision_ = 0;
         co_await wait_for(watch_timer_, times_.read_pause);
     }
 }
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -88,6 +88,13 @@
     {
         source.operator_data()
         } -> std::same_as<operator_position>;
+    // Revision of the store up to which this host has all changes of the operator; zero if
+    // it has not read everything yet
+    {
+        source.operator_complete_revision()
+        } -> std::same_as<std::uint64_t>;
+    // Notes that a host with the given last change has all changes up to a revision
+    source.confirm_operator(revision, revision);
     // Writes what another host lacks of the operator's data as text for it, and parses
     // that text
     {
--- a/tests/unit/peer/listing_fleet.hpp
+++ b/tests/unit/peer/listing_fleet.hpp
@@ -175,7 +175,6 @@
         if (reads_regularly || fallback.time_to_listing(age(index), now()) == duration{0})
             read_store(index);
         if (due(index * std::chrono::milliseconds(29), watch_interval) &&
-            hosts_[index].operator_revision < operator_revision_ &&
             (is_reader(index) || fallback.wants_operator(now())))
             read_operator(index);
         finish_reads(index);
@@ -188,9 +187,9 @@
         ++store_reads;
         auto& host = hosts_[index];
         auto const fails = store_fails_(index);
+        host.fallback.on_listing_read(!fails, age(index), now());
         if (!fails)
             host.catalog.apply_listing(now(), revision(), {});
-        host.fallback.on_listing_read(!fails, now());
     }
 
     void read_operator(std::uint32_t index)
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
+
 using namespace marjorampath;
 using namespace marjorampath::test;
 
@@ -109,6 +111,38 @@
     BOOST_TEST(update.versions.size() == 1U);
 }
 
+// So that it can go on with the changes behind that revision, and need not read
+// everything
+BOOST_AUTO_TEST_CASE(a_host_with_the_same_last_change_has_all_that_the_other_has)
+{
+    write_configuration(1);
+    auto client = make_client();
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    auto const last = client.operator_data().revision;
+    auto const complete = client.operator_complete_revision();
+    client.confirm_operator(last + 1, complete + 9);
+    BOOST_TEST(client.operator_complete_revision() == complete);
+    client.confirm_operator(last, complete + 9);
+    BOOST_TEST(client.operator_complete_revision() == complete + 9);
+    BOOST_TEST(client.operator_data().revision == last);
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_goes_on_from_the_last_whole_read)
+{
+    using namespace std::chrono_literals;
+    write_configuration(1);
+    auto client = make_client();
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    write_configuration(2);
+    write_version("a1", 5);
+    auto const update =
+        run(client.watch_operator(client.operator_complete_revision(), 100ms));
+    BOOST_REQUIRE(update.configuration);
+    BOOST_TEST(update.configuration->version == 2U);
+    BOOST_TEST(update.versions.size() == 1U);
+    BOOST_TEST(client.operator_data().revision == update.revision);
+}
+
 BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_parsed_hides_no_later_one)
 {
     write_configuration(1);
