Continue a stream without a record only by a listing that is newer than its take-up

What callers would get (reported from elsewhere, during a release): a stream that had begun on an engine of a new software version, taken up at a host that was out of step, and continued by another version. Cause: only_software_version trusted a listing of up to 3 s, and the judgement by kept prompts one of any age. An engine that joined behind the listing is not in it, whatever the bound; and the question for the record gives up after 25 ms where the host is cut off. Change: without a record the exchange waits for a listing that was read after the take-up arrived, reads the store for it at once (every 200 ms at most), and refuses the request as not run where none comes within 1 s. Engines that came and went between two listings further apart than an entry stays listed (3.6 s) were never seen: behind such a gap nothing counts as certain for as long as a stream may last.

--- a/marjorampath/deployment/software_history.cpp
+++ b/marjorampath/deployment/software_history.cpp
@@ -5,6 +5,13 @@
 namespace marjorampath
 {
 
+void software_history::on_listing(time_point listed_at)
+{
+    if (listed_at_ && listed_at - *listed_at_ > max_listing_gap)
+        gap_end_ = listed_at;
+    listed_at_ = std::max(listed_at, listed_at_.value_or(listed_at));
+}
+
 void software_history::on_endpoint(endpoint_event const& event, time_point now)
 {
     known_since_ = known_since_.value_or(now);
@@ -36,6 +43,8 @@
         only = only.value_or(version);
         return *only != version;
     };
+    if (gap_end_ && now - *gap_end_ < max_stream_age_)
+        return std::nullopt;
     auto const known_long_enough = known_since_ && now - *known_since_ >= max_stream_age_;
     auto const max_age =
         std::chrono::duration_cast<std::chrono::milliseconds>(max_stream_age_);
@@ -60,6 +69,8 @@
                                              std::string const& version,
                                              time_point since) const
 {
+    if (gap_end_ && *gap_end_ >= since)
+        return true;
     return std::any_of(departed_.begin(), departed_.end(),
                        [&](auto const& entry)
                        {
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -66,6 +66,8 @@
     duration permit_retry_pause = std::chrono::milliseconds(100);
     /// Time to wait for the origin of a stream from other hosts.
     duration origin_timeout = std::chrono::milliseconds(25);
+    /// Time to wait for a listing of the endpoints.
+    duration listing_timeout = std::chrono::milliseconds(1'000);
     /// Time to wait for engines to say what they keep of prompts.
     duration evidence_timeout = std::chrono::milliseconds(800);
     /// Age up to which a stream may have begun if its caller does not tell its deadline.
@@ -128,8 +130,11 @@
     /// `origin_replies`. Empty if other hosts were asked; the first reply of one that
     /// knows the stream ends the wait there.
     std::function<std::optional<std::string>(stream_id, std::uint64_t)> find_stream;
+    /// Whether the listing of the endpoints was read from service discovery after a time.
+    /// If it was not, it is read soon, and the waiters of `listing_waiters` are woken.
+    std::function<bool(time_point)> request_listing;
     /// The software version that began every stream of a service that can still be
-    /// continued; empty if there may be several, or if that is not known.
+    /// continued, by the last listing; empty if there may be several.
     std::function<std::optional<std::string>(service_id)> only_software_version;
     /// The software version that began a stream by what engines keep of its prompt.
     std::function<origin_judgement(stream_question const&)> judge_origin;
@@ -141,6 +146,8 @@
     waiting_timers<endpoint_id> status_waiters;
     /// Timers of the exchanges that wait for what engines keep of prompts, by service.
     waiting_timers<service_id> evidence_waiters;
+    /// Timers of the exchanges that wait for a listing of the endpoints, by service.
+    waiting_timers<service_id> listing_waiters;
     /// Replies to requests for permits.
     pending_replies<permit_reply> permit_replies;
     /// Replies to questions for the origins of streams.
@@ -176,6 +183,13 @@
         cancel(evidence_waiters, service);
     }
 
+    /// Wakes the exchanges that wait for a listing of the endpoints.
+    void wake_listing_waiters()
+    {
+        for (auto const& [service, timer] : listing_waiters)
+            timer->cancel();
+    }
+
     /// Wakes the exchanges that wait for an adapter.
     void wake(std::string const& adapter)
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -149,6 +149,9 @@
     boost::asio::awaitable<void> find_origin();
     // Asks this host and others for the software version that began a stream
     boost::asio::awaitable<std::optional<std::string>> query_origin();
+    // Waits for a listing of the endpoints that was read after this request arrived: only
+    // that one has each version that can have begun the stream. False if there is none
+    boost::asio::awaitable<bool> await_listing();
     // Asks what engines keep of the prompt for the software version that began the stream
     boost::asio::awaitable<std::optional<std::string>> judge_origin();
     // Lets only the software version of the current endpoint continue the stream
--- a/serving/entry/entry_exchange_origin.inl
+++ b/serving/entry/entry_exchange_origin.inl
@@ -9,13 +9,14 @@
     if (!request_.resumed_attempt.empty())
         required = co_await query_origin();
     auto source = required ? "record" : "none";
-    if (!required)
+    auto const listed = !required && co_await await_listing();
+    if (listed)
     {
         required = context_->only_software_version(request_.dispatch_call.service);
         if (required)
             source = "only_version";
     }
-    if (!required && !request_.dispatch_call.parts.empty() && !aborted())
+    if (listed && !required && !request_.dispatch_call.parts.empty() && !aborted())
     {
         required = co_await judge_origin();
         if (required)
@@ -23,11 +24,25 @@
     }
     log_event(event::stream_resumed, "request", request_.caller_attempt_id, "resumes",
               request_.resumed_attempt, "after_event", request_.last_event, "source",
-              source, "software", required.value_or(std::string()));
+              source, "listed", listed, "software", required.value_or(std::string()));
     if (!required && !aborted())
         co_await conclude_failed(error_kind::no_endpoint, {});
 }
 
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool> entry_exchange<Dialect>::await_listing()
+{
+    auto const end = boot_now() + context_->times.listing_timeout;
+    while (!aborted() && boot_now() < end)
+    {
+        if (context_->request_listing(begin_))
+            co_return true;
+        co_await wait_until_notified(context_->listing_waiters,
+                                     request_.dispatch_call.service, end - boot_now());
+    }
+    co_return false;
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<std::optional<std::string>> entry_exchange<Dialect>::judge_origin()
 {
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -71,8 +71,8 @@
     duration other_zone_penalty = std::chrono::milliseconds(900);
     /// When a host that reads from others reads the store itself.
     store_fallback::options fallback;
-    /// Age of the listing up to which it shows all software versions that serve.
-    duration max_software_age = std::chrono::milliseconds(3'000);
+    /// Least time between two reads of the listing for streams that are continued here.
+    duration wanted_listing_interval = std::chrono::milliseconds(200);
     /// Interval of reading the report of an engine whose lease this host holds.
     duration report_interval = std::chrono::milliseconds(600);
     /// Time within which a probed endpoint must answer: many round trips to another zone.
@@ -226,6 +226,8 @@
     [[nodiscard]] duration listing_age(time_point now) const;
     // Time until this host reads the listing from the store; zero for now
     [[nodiscard]] duration time_to_store_listing(time_point now) const;
+    // Tells all that depend on it that the listing was read or confirmed
+    void on_listing_renewed();
     // Whether this host reads the operator's data from the store
     [[nodiscard]] bool reads_operator_from_store(time_point now) const;
     // Logs that the listing has become old, and how old it was once it is renewed
@@ -347,8 +349,10 @@
     void report_open_streams(host_id host);
     // The software version that began a stream; asks other hosts if it is not known here
     std::optional<std::string> find_stream(stream_id stream, std::uint64_t number);
+    // Whether the listing was read from the store after a time; else it is read soon
+    bool request_listing(time_point since);
     // The software version that began every stream of a service that can still be
-    // continued; empty if there may be several or the listing is old
+    // continued; empty if there may be several
     [[nodiscard]] std::optional<std::string>
     only_software_version(service_id service) const;
     // The software version that began a stream by what engines keep of its prompt; asks
@@ -456,6 +460,12 @@
     // Whether `read_peer_operator` or `read_peer_listing` is waiting for a peer
     bool reading_peer_operator_ = false;
     bool reading_peer_listing_ = false;
+    // When this host last read the listing from the store, and when it reads it next if it
+    // does so regularly
+    time_point last_listing_read_at_;
+    time_point next_listing_read_at_;
+    // Time behind which the listing should have been read, for a stream that is continued
+    time_point listing_wanted_since_;
     // Entries of the last listing that name no endpoint
     std::set<std::string> ignored_entries_;
     // Whether the store is read because others do not give what they have
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -114,6 +114,7 @@
         .forget_open_stream = [this](stream_id stream) { open_streams_.remove(stream); },
         .find_stream = [this](stream_id stream, std::uint64_t number)
         { return find_stream(stream, number); },
+        .request_listing = [this](time_point since) { return request_listing(since); },
         .only_software_version = [this](service_id service)
         { return only_software_version(service); },
         .judge_origin = [this](stream_question const& question)
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -273,8 +273,10 @@
     auto const now = boot_now();
     source_.confirm_operator(relayed->operator_change, relayed->operator_complete);
     if (relayed->unchanged)
-        co_return catalog_.confirm_listing(now - relayed->age, known,
-                                           now - relayed->available_for);
+    {
+        catalog_.confirm_listing(now - relayed->age, known, now - relayed->available_for);
+        co_return on_listing_renewed();
+    }
     auto listing = source_.read_relayed_endpoints(relayed->body);
     if (listing.error)
     {
--- a/serving/entry/entry_node_streams.inl
+++ b/serving/entry/entry_node_streams.inl
@@ -34,14 +34,21 @@
     return std::nullopt;
 }
 
+template <entry_platform Platform>
+bool entry_node<Platform>::request_listing(time_point since)
+{
+    if (catalog_.listed_at() && *catalog_.listed_at() > since)
+        return true;
+    listing_wanted_since_ = std::max(listing_wanted_since_, since);
+    listing_timer_.cancel();
+    return false;
+}
+
 template <entry_platform Platform>
 std::optional<std::string>
 entry_node<Platform>::only_software_version(service_id service) const
 {
-    auto const now = boot_now();
-    if (!catalog_.listed_at() || now - *catalog_.listed_at() > times_.max_software_age)
-        return std::nullopt;
-    return software_.only_version(service, now, wall_now());
+    return software_.only_version(service, boot_now(), wall_now());
 }
 
 template <entry_platform Platform>
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -31,22 +31,27 @@
             break;
         update_store_state(listing.error);
         auto const failed = static_cast<bool>(listing.error);
+        last_listing_read_at_ = boot_now();
+        next_listing_read_at_ =
+            last_listing_read_at_ + (failed ? times_.read_pause : times_.listing_interval);
         fallback_.on_listing_read(!failed, listing_age(requested_at), boot_now());
         if (fallback_.wants_operator(boot_now()))
             watch_timer_.cancel();
         if (!failed)
             apply_listing(std::move(listing), "store");
-        co_await wait_for(listing_timer_,
-                          failed ? times_.read_pause : times_.listing_interval);
     }
 }
 
 template <entry_platform Platform>
 duration entry_node<Platform>::time_to_store_listing(time_point now) const
 {
-    if (!context_.routes || fleet_.peers().is_reader(now))
-        return duration{0};
-    return fallback_.time_to_listing(listing_age(now), now);
+    auto const regularly = !context_.routes || fleet_.peers().is_reader(now);
+    auto wait = regularly ? next_listing_read_at_ - now
+                          : fallback_.time_to_listing(listing_age(now), now);
+    if (listing_wanted_since_ > catalog_.listed_at().value_or(time_point{}))
+        wait = std::min(wait,
+                        last_listing_read_at_ + times_.wanted_listing_interval - now);
+    return std::max(wait, duration{0});
 }
 
 template <entry_platform Platform>
@@ -168,6 +173,14 @@
     for (auto const& change : changes)
         apply_endpoint_change(change, source);
     update_engines();
+    on_listing_renewed();
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::on_listing_renewed()
+{
+    software_.on_listing(*catalog_.listed_at());
+    context_.wake_listing_waiters();
 }
 
 template <entry_platform Platform>
--- a/tests/unit/deployment/software_history_test.cpp
+++ b/tests/unit/deployment/software_history_test.cpp
@@ -84,6 +84,28 @@
     BOOST_TEST(only_version().value() == "v3");
 }
 
+// An engine may have come, begun streams and left while the host stood still
+BOOST_AUTO_TEST_CASE(nothing_is_certain_behind_a_time_without_listings)
+{
+    change(0, "v1");
+    history.on_listing(now);
+    now += 2s;
+    history.on_listing(now);
+    BOOST_TEST(only_version().value() == "v1");
+    BOOST_TEST(!history.another_version_ended(models, "v1", now - 2s));
+    now += 5s;
+    history.on_listing(now);
+    BOOST_TEST(!only_version());
+    BOOST_TEST(history.another_version_ended(models, "v1", now - 2s));
+    BOOST_TEST(!history.another_version_ended(models, "v1", now + 1s));
+    for (int second = 0; second < 31; ++second)
+    {
+        now += 1s;
+        history.on_listing(now);
+    }
+    BOOST_TEST(only_version().value() == "v1");
+}
+
 // A host that has just started does not know which engines have left
 BOOST_AUTO_TEST_CASE(a_new_host_relies_on_the_starts_of_the_endpoints)
 {
--- a/tests/unit/entry/entry_exchange_test.cpp
+++ b/tests/unit/entry/entry_exchange_test.cpp
@@ -238,6 +238,27 @@
     BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+// A host that was out of step had not listed the version that began the stream
+BOOST_AUTO_TEST_CASE(a_listing_from_before_a_stream_tells_nothing_of_its_origin)
+{
+    for (auto const store_answers : {true, false})
+    {
+        entry_fixture entry({{stream_head() + chunk(events(3, 4)) + "0\r\n\r\n"}}, {});
+        entry.set_software_version(0, "v1");
+        entry.set_software_version(1, "v1");
+        entry.listed_at = boot_now();
+        entry.only_software_version = "v1";
+        entry.next_only_software_version = std::optional<std::string>();
+        entry.store_answers = store_answers;
+        auto const answer = entry.send_request(
+            http::verb::post, "/resumable/x",
+            {{"Last-Event-Id", "2"}, {"Resumes", "first"}, {"X-Prompt-Prefix", "b2:7"}});
+        BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+        BOOST_TEST(contains(answer, "X-Outcome: not-run"));
+        BOOST_TEST(entry.sends() == 0U);
+    }
+}
+
 // Behind the loss of all hosts every continued stream was refused
 BOOST_AUTO_TEST_CASE(a_stream_that_no_host_remembers_goes_on_where_its_prompt_is_kept)
 {
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -221,6 +221,23 @@
         return std::nullopt;
     }
 
+    // Whether the listing is as new as asked for; if it can be read, that is done soon
+    bool request_listing(time_point since)
+    {
+        if (listed_at > since)
+            return true;
+        if (store_answers)
+            asio::post(loop,
+                       [this]
+                       {
+                           listed_at = boot_now();
+                           if (next_only_software_version)
+                               only_software_version = *next_only_software_version;
+                           context.wake_listing_waiters();
+                       });
+        return false;
+    }
+
     // Announces a software version of one of the endpoints
     void set_software_version(std::size_t index, std::string const& version)
     {
@@ -309,6 +326,11 @@
     // Streams whose answers have ended
     std::vector<stream_id> ended;
     std::optional<std::string> only_software_version;
+    // The same by the next listing if that differs, and whether it can be read
+    std::optional<std::optional<std::string>> next_only_software_version;
+    bool store_answers = true;
+    // When the last listing was read
+    time_point listed_at;
     // Version of the engines that keep the prompt, by the second question; empty if none
     std::string kept_by;
     // Questions for the origin of a stream by what engines keep
@@ -374,6 +396,7 @@
         .forget_open_stream = [this](stream_id stream) { ended.push_back(stream); },
         .find_stream = [this](stream_id stream, std::uint64_t number)
         { return find_stream(stream, number); },
+        .request_listing = [this](time_point since) { return request_listing(since); },
         .only_software_version = [this](service_id) { return only_software_version; },
         .judge_origin =
             [this](stream_question const& question)
