Answer the requests that still run when the grace period ends, and take none that do not fit

What callers saw (reported from elsewhere, shown here): requests that were taken late in a planned stop, or ran to its end, were cut with no answer, also those that must not be repeated. Cause: the end of the grace stopped the event loop, and nothing in an exchange knew that the host was stopping. Change: 300 ms before that the host ends the requests that still run: 503 not run where no endpoint can have run it, 502 with the outcome unknown where one may have, a visible cut of a stream that has begun. The sheet's node waits for its requests without an end; a new process test shows that a late stream there gets its whole answer.

--- a/marjorampath/peer/store_fallback.cpp
+++ b/marjorampath/peer/store_fallback.cpp
@@ -25,8 +25,7 @@
     return (lags || others_are_old_) && now >= operator_.next_at;
 }
 
-void store_fallback::on_listing_read(bool succeeded, duration listing_age,
-                                     time_point now)
+void store_fallback::on_listing_read(bool succeeded, duration listing_age, time_point now)
 {
     on_read(listing_, succeeded, now);
     others_are_old_ = others_are_old_ || listing_age >= options_.max_listing_age;
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -3,6 +3,7 @@
 #include <marjorampath/deployment/route_table.hpp>
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
+#include <marjorampath/dispatch/run_times.hpp>
 #include <marjorampath/peer/peer_heartbeat.hpp>
 #include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
 #include <marjorampath/reachability/reach_monitor.hpp>
@@ -13,6 +14,7 @@
 #include <marjorampath/suspect/part_suspect_registry.hpp>
 #include <marjorampath/suspect/suspect_registry.hpp>
 #include <serving/caller/caller_context.hpp>
+#include <serving/caller/exchange_control.hpp>
 #include <serving/endpoint/connection_pool.hpp>
 #include <serving/entry/entry_metrics.hpp>
 #include <serving/entry/lost_attempts.hpp>
@@ -53,6 +55,9 @@
     /// Retry-After value in the answer to a request that may not be sent again or whose
     /// adapter was not loaded in time.
     duration retry_pause = std::chrono::milliseconds(800);
+    /// Retry-After value in the answer to a request that this host does not take because
+    /// it is shutting down: another host can take it at once.
+    duration shutdown_retry_pause = std::chrono::milliseconds(50);
     /// Longest idle time of a connection that is reused for a request that is not
     /// idempotent.
     duration max_idle_non_idempotent = std::chrono::milliseconds(1'500);
@@ -101,6 +106,12 @@
     lost_attempts lost;
     /// Counters and latencies.
     entry_metrics metrics;
+    /// How long requests take.
+    run_times measured_times;
+    /// When the host ends the requests that still run; set when it shuts down.
+    std::optional<time_point> ends_requests_at;
+    /// Requests that are being served.
+    std::set<std::shared_ptr<exchange_control>> open_exchanges;
     /// Sends a load request to an engine's lease holder.
     std::function<void(proposed_load const&)> request_load;
     /// Reports this host's requests in flight at an engine to its lease holder; the flag
@@ -171,6 +182,15 @@
         dispatch.set_rate_limit(endpoint, std::nullopt);
     }
 
+    /// Ends all requests that still run: those that no endpoint can have run are reported
+    /// as not run.
+    void end_requests()
+    {
+        auto const controls = open_exchanges;
+        for (auto const& control : controls)
+            control->abort(error_kind::shutting_down);
+    }
+
     /// Wakes the exchanges that wait for an engine's status.
     void wake(endpoint_id engine)
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -95,6 +95,8 @@
     // Most waits of one request for its adapter
     static constexpr unsigned max_adapter_waits = 30;
 
+    // Whether the request can be expected to end before the host ends those that run
+    [[nodiscard]] bool fits_before_shutdown() const;
     // Gets one decision of the dispatcher and executes it
     boost::asio::awaitable<void> step();
     // Refuses the request if its content or a part of its prompt crashed endpoints; true
@@ -193,7 +195,7 @@
     // Ends the request without a successful answer: cuts a stream that has begun, sends
     // an endpoint's failure that is held, or else rejects the request
     boost::asio::awaitable<void> conclude_failed(error_kind kind, duration retry_after);
-    // Ends a request that its deadline or its caller aborted
+    // Ends a request that its deadline, its caller or the end of the host aborted
     boost::asio::awaitable<void> conclude_aborted();
     // Sends an error answer of this host
     boost::asio::awaitable<void> reject(error_kind kind, duration retry_after);
@@ -228,7 +230,7 @@
     caller_message const* message_;
     // The parsed request
     entry_request request_;
-    // Aborts the exchange at its deadline or when the caller is gone
+    // Aborts the exchange at its deadline, when the caller is gone or the host ends
     std::shared_ptr<exchange_control> control_;
     // Whether another host passed the request on
     bool forwarded_here_;
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -14,6 +14,9 @@
         co_return;
     }
     request_ = std::move(std::get<entry_request>(read));
+    if (!fits_before_shutdown())
+        co_return co_await reject(error_kind::shutting_down,
+                                  context_->times.shutdown_retry_pause);
     events_ = event_splitter({.last_id = request_.last_event});
     auto const budget = context_->budgets.find(request_.dispatch_call.service);
     if (budget != context_->budgets.end() && !forwarded_here_)
@@ -23,6 +26,7 @@
     control_ = std::make_shared<exchange_control>(context_->callers.loop.get_executor(),
                                                   [session] { session->cancel_write(); });
     control_->start_deadline(request_.dispatch_call.deadline - begin_);
+    context_->open_exchanges.insert(control_);
     session_->watch_disconnect([control = control_]
                                { control->abort(error_kind::caller_gone); });
     if (request_.last_event != 0 && is_stream(request_.dispatch_call.kind))
@@ -33,9 +37,21 @@
     if (open_stream_)
         context_->forget_open_stream(*open_stream_);
     session_->unwatch_disconnect();
+    context_->open_exchanges.erase(control_);
     control_->finish();
 }
 
+template <entry_dialect Dialect>
+bool entry_exchange<Dialect>::fits_before_shutdown() const
+{
+    if (!context_->ends_requests_at)
+        return true;
+    auto const& request = request_.dispatch_call;
+    auto const expected = context_->measured_times.expected(request.service, request.kind,
+                                                         request.objective);
+    return begin_ + expected <= *context_->ends_requests_at;
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<void> entry_exchange<Dialect>::step()
 {
@@ -366,6 +382,9 @@
     switch (end)
     {
     case attempt_end::finished:
+        context_->measured_times.on_finished(request_.dispatch_call.service,
+                                          request_.dispatch_call.kind,
+                                          boot_now() - begin_);
         concluded_ = true;
         break;
     case attempt_end::cancelled:
@@ -458,8 +477,11 @@
 
     // From here on nothing aborts the exchange, so that the answer can be sent
     control_->finish();
-    co_await conclude_failed(
-        possible_runs_ > 0 ? reason : error_kind::deadline_unreachable, {});
+    if (reason == error_kind::shutting_down)
+        co_await conclude_failed(reason, context_->times.shutdown_retry_pause);
+    else
+        co_await conclude_failed(
+            possible_runs_ > 0 ? reason : error_kind::deadline_unreachable, {});
 }
 
 template <entry_dialect Dialect>
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -82,8 +82,10 @@
     /// Time for which new callers are accepted after the signal to stop: two readiness
     /// probes of the balancer, one per second, and their latency.
     duration shutdown_notice = std::chrono::milliseconds(2'300);
-    /// Time between cutting the remaining requests and the end of the grace period.
+    /// Time between cutting the remaining connections and the end of the grace period.
     duration grace_margin = std::chrono::milliseconds(350);
+    /// Time before that for the answers to the requests that have not ended.
+    duration last_answers = std::chrono::milliseconds(300);
 };
 
 /// An entry host on a platform whose store is read-only.
@@ -375,9 +377,11 @@
     [[nodiscard]] bool ready() const;
     // Accepts no further callers; the node finishes when their requests have ended
     void stop_callers();
+    // Answers the requests that still run shortly before the grace period ends
+    void end_requests();
     // Ends the node once no request of callers or of other hosts is left
     void on_listener_drained();
-    // Ends the node and cuts the requests that remain
+    // Ends the node and cuts the connections that remain
     void finish();
 
     entry_settings settings_;
@@ -460,8 +464,8 @@
     // Whether `read_peer_operator` or `read_peer_listing` is waiting for a peer
     bool reading_peer_operator_ = false;
     bool reading_peer_listing_ = false;
-    // When this host last read the listing from the store, and when it reads it next if it
-    // does so regularly
+    // When this host last read the listing from the store, and when it reads it next if
+    // it does so regularly
     time_point last_listing_read_at_;
     time_point next_listing_read_at_;
     // Time behind which the listing should have been read, for a stream that is continued
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -421,7 +421,23 @@
     fleet_.leave();
     notice_timer_.expires_after(times_.shutdown_notice);
     notice_timer_.async_wait([this](boost::system::error_code) { stop_callers(); });
-    grace_timer_.expires_after(settings_.grace - times_.grace_margin);
+    auto const until_end = settings_.grace - times_.grace_margin - times_.last_answers;
+    context_.ends_requests_at = boot_now() + until_end;
+    grace_timer_.expires_after(until_end);
+    grace_timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+                end_requests();
+        });
+}
+
+template <entry_platform Platform>
+void entry_node<Platform>::end_requests()
+{
+    log_event(event::requests_ended, "requests", context_.open_exchanges.size());
+    context_.end_requests();
+    grace_timer_.expires_after(times_.last_answers);
     grace_timer_.async_wait(
         [this](boost::system::error_code error)
         {
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -88,8 +88,8 @@
     {
         source.operator_data()
         } -> std::same_as<operator_position>;
-    // Revision of the store up to which this host has all changes of the operator; zero if
-    // it has not read everything yet
+    // Revision of the store up to which this host has all changes of the operator; zero
+    // if it has not read everything yet
     {
         source.operator_complete_revision()
         } -> std::same_as<std::uint64_t>;
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -41,6 +41,9 @@
                 "The node accepts connections on an address."},
     event_entry{listener_failed, error, "listener_failed",
                 "The node could not listen on an address. Check the settings."},
+    event_entry{requests_ended, warning, "requests_ended",
+                "The grace period ends; `requests` that still run get their answer now: "
+                "not run where that is certain, else unknown."},
 
     event_entry{sheet_accepted, info, "sheet_accepted",
                 "A sheet passed all checks and is now in force."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -27,6 +27,7 @@
     log_lines_lost = 108,
     listener_opened = 109,
     listener_failed = 110,
+    requests_ended = 111,
 
     sheet_accepted = 200,
     sheet_rejected = 201,
--- a/tests/process/change_test.cpp
+++ b/tests/process/change_test.cpp
@@ -135,6 +135,22 @@
     BOOST_TEST(*status == 0);
 }
 
+// Its stream lasts longer than the notice; this node has no end of the grace
+BOOST_AUTO_TEST_CASE(a_request_that_comes_late_in_a_shutdown_is_answered_whole)
+{
+    process_fleet fleet({.engine_arguments = {"--token-ms", "10"},
+                         .node_settings = "shutdown_notice_ms: 1000\n"});
+    fleet.node().signal(SIGTERM);
+    auto const stops = [&]
+    { return call(fleet.node().address(), "GET", "/readyz").status != 200; };
+    BOOST_REQUIRE(eventually(stops));
+    auto const answer = fleet.complete("lot-1", "late", 150, true);
+    BOOST_TEST(answer.looks_complete());
+    BOOST_TEST(answer.text() == expected_text("lot-1@v1", "late", 150));
+    auto const status = fleet.node().wait(std::chrono::seconds(10));
+    BOOST_TEST((status && *status == 0));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_endpoint_gets_no_new_requests_after_three_seconds)
 {
     process_fleet fleet({});
--- /dev/null
+++ b/tests/process/entry_process.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <tests/process/child_process.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace marjorampath::test
+{
+
+/// An entry node of the users' platform before a store and one endpoint of a plain
+/// service, each in a process of its own on loopback.
+class entry_process
+{
+public:
+    /// How to construct an entry_process.
+    struct options
+    {
+        /// Time that the endpoint takes for a request.
+        std::chrono::milliseconds work_time{10};
+        /// Grace period of the node.
+        std::chrono::seconds grace{4};
+    };
+
+    /// Starts all processes and waits until the node is ready. Throws std::runtime_error
+    /// otherwise.
+    explicit entry_process(options const& values);
+
+    /// Kills the processes and removes the folder.
+    ~entry_process();
+
+    entry_process(entry_process const&) = delete;
+    entry_process& operator=(entry_process const&) = delete;
+
+    /// The node.
+    child_process& node()
+    {
+        return *node_;
+    }
+
+    /// Whether the endpoint began to run a request.
+    [[nodiscard]] bool has_run(std::string const& attempt) const;
+
+    /// Whether the node takes connections of callers.
+    [[nodiscard]] bool takes_callers() const;
+
+private:
+    // Returns the path of a file in the folder
+    [[nodiscard]] std::string file(std::string const& name) const;
+
+    void start_endpoint(options const& values);
+    void start_node(options const& values);
+
+    std::filesystem::path folder_;
+    std::unique_ptr<child_process> store_;
+    std::unique_ptr<child_process> endpoint_;
+    std::unique_ptr<child_process> node_;
+    boost::asio::ip::tcp::endpoint readiness_;
+};
+
+} // namespace marjorampath::test
