--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -143,6 +143,17 @@
     BOOST_TEST(client.operator_data().revision == update.revision);
 }
 
+// A host behind a full link got the listing and never the operator's data
+BOOST_AUTO_TEST_CASE(
+    a_slow_way_to_the_store_gives_the_operators_data_as_it_gives_the_listing)
+{
+    write_configuration(1);
+    call_store("/standin/delay?ms=550");
+    auto client = make_client();
+    BOOST_TEST(!run(client.read_endpoints()).error);
+    BOOST_TEST(!run(client.read_operator()).error);
+}
+
 BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_parsed_hides_no_later_one)
 {
     write_configuration(1);
