Pass on only the entries of the store that name endpoints

Change: the copy for other hosts has the entries that name endpoints and nothing else; an entry above 32 KB names none. Evidence: store_clients/only_entries_that_name_endpoints_are_passed_on (165 KB of odd entries beside two endpoints give a copy below 1 KB); the 31 test cases of store_clients and users_platform pass.

--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -154,6 +154,37 @@
     BOOST_TEST(!run(client.read_operator()).error);
 }
 
+// What others wrote beside the endpoints was kept by each host and passed on
+BOOST_AUTO_TEST_CASE(only_entries_that_name_endpoints_are_passed_on)
+{
+    auto const write = [&](std::string const& name, std::string const& zone)
+    {
+        call_store("/standin/put?key=servers/" + name,
+                   fmt::format(R"({{"service":"s","address":"10.1.0.9:8080","zone":"{}",
+                                   "version":"v1","slots":6,"state":"ready","coldLeftMs":0,
+                                   "sequence":4,"born":17}})",
+                               zone));
+    };
+    write("i-1", "z");
+    write("i-2", std::string(65'536, 'z'));
+    call_store("/standin/put?key=servers/odd", std::string(100'000, '['));
+    write("i-3", "z");
+    set_pages(2, false);
+    auto client = make_client();
+    auto const listing = run(client.read_endpoints());
+    BOOST_TEST(!listing.error);
+    BOOST_TEST(listing.endpoints.size() == 2U);
+    BOOST_TEST(listing.ignored.size() == 2U);
+    BOOST_TEST(listing.relayed.size() < 1'000U);
+    auto const relayed = platform::store_client::read_relayed_endpoints(listing.relayed);
+    BOOST_TEST(!relayed.error);
+    BOOST_TEST(relayed.revision == listing.revision);
+    BOOST_REQUIRE(relayed.endpoints.size() == 2U);
+    BOOST_TEST(relayed.endpoints[0].name == "i-1");
+    BOOST_TEST(relayed.endpoints[1].name == "i-3");
+    BOOST_TEST(relayed.endpoints[1].revision == listing.endpoints[1].revision);
+}
+
 BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_parsed_hides_no_later_one)
 {
     write_configuration(1);
