Let silent hosts pass on no heartbeats of a fleet that reaches their group

What callers saw: a host behind a full link, not ready for seconds, that kept an old configuration. Cause: each host sends one heartbeat a round to a silent member of each group, to be passed on. One silent host in a group so got those of the whole fleet (195 instead of 14 a round) and sent them to the 13 others of its group, up to 40 KB a datagram. That fills a link of 20 Mbit/s, on which its own heartbeats are lost: it stays silent. What it asks of the store or of others waits behind it. Change: where others of the group answer, a silent host gets one heartbeat in four rounds and passes none on. A group that is silent as a whole may have been cut off, and is treated as before. heartbeat_routers/a_host_that_is_not_heard_has_no_more_to_pass_on_than_others failed before (3,728 heartbeats to pass on in 10 s where the mean is 249; 4,083 received) and passes; the others of the suite pass, with their times until cut and lost hosts are heard again.

--- a/marjorampath/peer/heartbeat_router.cpp
+++ b/marjorampath/peer/heartbeat_router.cpp
@@ -76,18 +76,24 @@
 
     // Hosts begin at different members, so that these have equal work
     auto const turn = round_ + hash_combine(self_.number(), 0);
-    auto const choose = [&](group_members const& groups)
+    for (auto const& [group, members] : found.responsive)
     {
-        for (auto const& [group, members] : groups)
-        {
-            targets.push_back(members[turn % members.size()]);
-            targets.back().passes_on = true;
-        }
-    };
-    choose(found.responsive);
+        targets.push_back(members[turn % members.size()]);
+        targets.back().passes_on = true;
+    }
 
-    // Silent hosts may only have been cut off
-    choose(found.silent);
+    // Silent hosts may only have been cut off. Where others of their group answer, they
+    // get few heartbeats and pass none on: those of the whole fleet would go to one
+    // member, which may be silent because its link is full
+    for (auto const& [group, members] : found.silent)
+    {
+        auto const cut_off = !found.responsive.contains(group);
+        auto const interval = cut_off ? 1 : options_.silent_interval;
+        if (turn % interval != 0)
+            continue;
+        targets.push_back(members[turn / interval % members.size()]);
+        targets.back().passes_on = cut_off;
+    }
     return targets;
 }
 
--- a/marjorampath/peer/heartbeat_router.hpp
+++ b/marjorampath/peer/heartbeat_router.hpp
@@ -22,6 +22,8 @@
     /// Heartbeats that a host sends directly to each new process of another host: both
     /// must know each other's incarnation, and a datagram may be lost.
     std::uint32_t introductions = 3;
+    /// Rounds between two heartbeats to the silent members of a group that has others.
+    std::uint64_t silent_interval = 4;
 };
 
 /// One receiver of a heartbeat.
@@ -45,7 +47,8 @@
 /// a zone form groups: a host sends its heartbeats to the members of its own group and to
 /// one member of each other group, a different one each time, which passes them on with
 /// its next heartbeat. So the number of datagrams grows with the square root of the
-/// fleet, and a zone's border is crossed once for each group behind it.
+/// fleet, and a zone's border is crossed once for each group behind it. Silent hosts pass
+/// nothing on, unless their whole group is silent.
 class heartbeat_router
 {
 public:
--- a/tests/unit/peer/heartbeat_fleet.hpp
+++ b/tests/unit/peer/heartbeat_fleet.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -69,6 +70,12 @@
         side_ = std::move(side);
     }
 
+    // Loses all datagrams of a host, as a full link does
+    void mute(std::uint32_t index)
+    {
+        muted_ = index;
+    }
+
     void run(duration time)
     {
         for (auto const end = now_ + time; now_ < end; now_ += step)
@@ -134,6 +141,10 @@
     std::function<void(std::uint32_t, peer_heartbeat&)> fill_heartbeat;
     // Heartbeats sent, with those that were passed on
     std::size_t datagrams = 0;
+    // Heartbeats that hosts received to pass them on, by index
+    std::map<std::uint32_t, std::size_t> to_pass_on;
+    // Heartbeats that hosts received directly, by index
+    std::map<std::uint32_t, std::size_t> received;
     // Times at which a running host took another running host for silent
     std::size_t false_silences = 0;
 
@@ -223,7 +234,8 @@
             target.host.value_or(host_id()), target.introduced);
         auto const to = target.address.address - address_of(0).address;
         std::bernoulli_distribution lost(options_.loss);
-        if (to < machines_.size() && side_(from) == side_(to) && !lost(random_))
+        if (to < machines_.size() && from != muted_ && side_(from) == side_(to) &&
+            !lost(random_))
             in_transit_.push_back(
                 {.arrives = now_ + step,
                  .to = to,
@@ -236,6 +248,8 @@
             return;
         auto& host = *machines_[each.to];
         auto const& heartbeat = *each.heartbeat;
+        ++received[each.to];
+        to_pass_on[each.to] += heartbeat.to_pass_on ? 1U : 0U;
         if (host.self.passes_on && heartbeat.to_pass_on)
         {
             // The model's encoded message is a key of the heartbeat
@@ -266,6 +280,7 @@
     std::deque<datagram> in_transit_;
     std::map<std::string, std::shared_ptr<peer_heartbeat const>> encoded_;
     std::function<int(std::uint32_t)> side_ = [](std::uint32_t) { return 0; };
+    std::optional<std::uint32_t> muted_;
 };
 
 } // namespace marjorampath::test
--- a/tests/unit/peer/heartbeat_router_test.cpp
+++ b/tests/unit/peer/heartbeat_router_test.cpp
@@ -114,6 +114,31 @@
     BOOST_TEST(fleet.pairs_heard() == all_pairs(hosts));
 }
 
+// A host whose heartbeats were lost got those of the whole fleet to pass them on, which
+// filled its link so that its heartbeats were lost
+BOOST_AUTO_TEST_CASE(a_host_that_is_not_heard_has_no_more_to_pass_on_than_others)
+{
+    constexpr std::uint32_t hosts = 195;
+    constexpr std::uint32_t muted = 5;
+    heartbeat_fleet fleet({.hosts = hosts, .zones = 6});
+    fleet.run(8s);
+    fleet.mute(muted);
+    fleet.run(10s);
+    BOOST_TEST(fleet.hosts_that_hear(muted) == 0U);
+    fleet.to_pass_on.clear();
+    fleet.received.clear();
+    fleet.run(10s);
+    auto const mean = [](std::map<std::uint32_t, std::size_t> const& counts)
+    {
+        std::size_t sum = 0;
+        for (auto const& [index, count] : counts)
+            sum += count;
+        return sum / hosts;
+    };
+    BOOST_TEST(fleet.to_pass_on[muted] <= mean(fleet.to_pass_on));
+    BOOST_TEST(fleet.received[muted] <= 3 * mean(fleet.received));
+}
+
 // During an upgrade
 BOOST_AUTO_TEST_CASE(hosts_of_a_build_without_groups_hear_and_are_heard)
 {
