--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -48,7 +48,7 @@
         return true;
     auto const& request = request_.dispatch_call;
     auto const expected = context_->measured_times.expected(request.service, request.kind,
-                                                         request.objective);
+                                                            request.objective);
     return begin_ + expected <= *context_->ends_requests_at;
 }
 
@@ -383,8 +383,8 @@
     {
     case attempt_end::finished:
         context_->measured_times.on_finished(request_.dispatch_call.service,
-                                          request_.dispatch_call.kind,
-                                          boot_now() - begin_);
+                                             request_.dispatch_call.kind,
+                                             boot_now() - begin_);
         concluded_ = true;
         break;
     case attempt_end::cancelled:
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -32,8 +32,8 @@
         update_store_state(listing.error);
         auto const failed = static_cast<bool>(listing.error);
         last_listing_read_at_ = boot_now();
-        next_listing_read_at_ =
-            last_listing_read_at_ + (failed ? times_.read_pause : times_.listing_interval);
+        next_listing_read_at_ = last_listing_read_at_ +
+                                (failed ? times_.read_pause : times_.listing_interval);
         fallback_.on_listing_read(!failed, listing_age(requested_at), boot_now());
         if (fallback_.wants_operator(boot_now()))
             watch_timer_.cancel();
@@ -49,8 +49,8 @@
     auto wait = regularly ? next_listing_read_at_ - now
                           : fallback_.time_to_listing(listing_age(now), now);
     if (listing_wanted_since_ > catalog_.listed_at().value_or(time_point{}))
-        wait = std::min(wait,
-                        last_listing_read_at_ + times_.wanted_listing_interval - now);
+        wait =
+            std::min(wait, last_listing_read_at_ + times_.wanted_listing_interval - now);
     return std::max(wait, duration{0});
 }
 
@@ -83,8 +83,7 @@
             continue;
         }
         auto const requested_at = boot_now();
-        auto const after =
-            last_watch_failed_ ? 0 : source_.operator_complete_revision();
+        auto const after = last_watch_failed_ ? 0 : source_.operator_complete_revision();
         operator_update update;
         if (after == 0)
             update = co_await source_.read_operator();
