--- a/tests/process/entry_process.cpp
+++ b/tests/process/entry_process.cpp
@@ -113,10 +113,11 @@
 
 bool entry_process::has_run(std::string const& attempt) const
 {
+    auto const wanted = fmt::format("\"attempt\":\"{}\"", attempt);
     std::ifstream records(file("records"));
     for (std::string line; std::getline(records, line);)
         if (line.find("\"event\":\"run\"") != std::string::npos &&
-            line.find("\"attempt\":\"" + attempt + "\"") != std::string::npos)
+            line.find(wanted) != std::string::npos)
             return true;
     return false;
 }
--- a/tests/process/entry_stop_test.cpp
+++ b/tests/process/entry_stop_test.cpp
@@ -32,7 +32,7 @@
 {
     std::string head = "POST " + not_repeatable + " HTTP/1.1\r\nContent-Length: 0\r\n";
     for (auto const& [name, value] : fields_of(attempt))
-        head += name + ": " + value + "\r\n";
+        head += fmt::format("{}: {}\r\n", name, value);
     return head;
 }
 
