--- a/review/tools/deployment.cpp
+++ b/review/tools/deployment.cpp
@@ -10,6 +10,7 @@
 
 #include <fmt/format.h>
 
+#include <csignal>
 #include <fstream>
 #include <set>
 #include <utility>
@@ -35,6 +36,9 @@
 constexpr milliseconds background_interval{40};
 constexpr milliseconds ready_interval{100};
 constexpr int ready_tries = 100;
+// Time for which machines that lose power are dark
+constexpr milliseconds restart_delay{1'000};
+constexpr milliseconds stream_deadline{15'000};
 
 std::string address_of(std::size_t host)
 {
@@ -73,17 +77,18 @@
 json::object route(std::string const& name, char const* type, char const* service,
                    unsigned attempts)
 {
+    auto const streaming = std::string_view(type) == "streaming";
     return {{"name", name},
             {"host", host_name},
             {"prefix", '/' + name + '/'},
             {"type", type},
-            {"timeoutMs", 4'000},
+            {"timeoutMs", streaming ? 15'000 : 4'000},
             {"goalMs", 300},
             {"priority", 1},
             {"service", service},
             {"maxAttempts", attempts},
             {"sticky", false},
-            {"resumable", std::string_view(type) == "streaming"},
+            {"resumable", streaming},
             {"gapGoalMs", 600}};
 }
 
@@ -133,25 +138,48 @@
                        relay_port_, peers_port_, seeds, store_.address(), metrics_port_);
 }
 
-asio::awaitable<bool> deployment::start()
+void deployment::start_host(std::size_t host)
+{
+    auto const file = fmt::format("{}/node-{}.yaml", folder_, host);
+    std::ofstream(file) << settings_of(host);
+    hosts_.push_back(std::make_unique<child>(
+        std::vector<std::string>{"target/bin/marjorampath-entry", "--settings", file},
+        fmt::format("{}/node-{}.log", folder_, host)));
+}
+
+engine& deployment::add_engine(engine_options options)
+{
+    engines_.push_back(
+        std::make_unique<engine>(context_, std::move(options), store_, record_));
+    asio::co_spawn(context_, engines_.back()->announce(), asio::detached);
+    return *engines_.back();
+}
+
+asio::awaitable<void> deployment::kill_all_hosts()
+{
+    record_.add("all hosts are killed");
+    for (auto const& each : hosts_)
+        each->signal(SIGKILL);
+    hosts_.clear();
+    co_await pause_for(restart_delay);
+    for (std::size_t host = 0; host < host_count; ++host)
+        start_host(host);
+}
+
+asio::awaitable<bool> deployment::start(bool with_traffic)
 {
     configure({});
     asio::co_spawn(context_, store_.keep_copies(), asio::detached);
     for (auto const& each : engines_)
         asio::co_spawn(context_, each->announce(), asio::detached);
     for (std::size_t host = 0; host < host_count; ++host)
-    {
-        auto const file = fmt::format("{}/node-{}.yaml", folder_, host);
-        std::ofstream(file) << settings_of(host);
-        hosts_.push_back(std::make_unique<child>(
-            std::vector<std::string>{"target/bin/marjorampath-entry", "--settings", file},
-            fmt::format("{}/node-{}.log", folder_, host)));
-    }
+        start_host(host);
     for (std::size_t host = 0; host < host_count; ++host)
         if (!co_await ready(host))
             co_return false;
     record_.add("all hosts are ready");
-    asio::co_spawn(context_, model_traffic(), asio::detached);
+    if (with_traffic)
+        asio::co_spawn(context_, model_traffic(), asio::detached);
     co_return true;
 }
 
@@ -291,6 +319,43 @@
     co_return answer;
 }
 
+asio::awaitable<unsigned> deployment::stream(std::size_t host, std::string name,
+                                             stream_request wanted, std::string& text)
+{
+    http::request<http::empty_body> message(http::verb::post, "/answer/x", 11);
+    message.set(http::field::host, host_name);
+    message.set("X-Attempt-Id", name);
+    message.set("X-Deadline-Ms", fmt::to_string(stream_deadline.count()));
+    message.set("X-Model", model);
+    message.set("X-Token-Count", fmt::format("200,{}", wanted.events * 4));
+    message.set("X-Prompt-Prefix", fmt::format("5c1e07a2:100,{}:100", wanted.session));
+    if (wanted.last_event != 0)
+        message.set("Last-Event-Id", fmt::to_string(wanted.last_event));
+    message.prepare_payload();
+    boost::beast::tcp_stream stream(context_);
+    stream.expires_after(stream_deadline);
+    error_code error;
+    co_await stream.async_connect(
+        {asio::ip::make_address(address_of(host)), callers_port_},
+        asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        co_await http::async_write(stream, message,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    while (!error && !parser.is_done())
+    {
+        co_await http::async_read_some(stream, buffer, parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        text += std::exchange(parser.get().body(), {});
+    }
+    auto const status = parser.is_header_done() ? parser.get().result_int() : 0U;
+    record_.add(fmt::format("client: stream {} at host {}: {}, {}", name, host, status,
+                            parser.is_done() ? "complete" : "broken off"));
+    co_return status;
+}
+
 asio::awaitable<void> deployment::model_traffic()
 {
     while (traffic_)
--- a/review/tools/deployment.hpp
+++ b/review/tools/deployment.hpp
@@ -37,6 +37,14 @@
     milliseconds deadline{1'500};
 };
 
+/// A stream that a client asks for.
+struct stream_request
+{
+    std::string session = "ab12";
+    unsigned events = 60;
+    std::uint64_t last_event = 0;
+};
+
 /// A small deployment: three entry hosts in three zones, a plain service and a model
 /// service, the store and the operator.
 class deployment
@@ -46,7 +54,7 @@
     deployment(boost::asio::io_context& context, std::string folder, recorder& record);
 
     /// Starts everything; false if the hosts do not become ready.
-    boost::asio::awaitable<bool> start();
+    boost::asio::awaitable<bool> start(bool with_traffic);
 
     /// Writes the next configuration, with routes for these path names; returns its
     /// version.
@@ -63,6 +71,20 @@
     boost::asio::awaitable<client_answer> request(std::size_t host, std::string name,
                                                   client_request wanted);
 
+    /// Opens a stream at a host on a new connection and reads it until it ends; appends
+    /// what arrives of its body, without chunk framing, to `text`. Returns the status.
+    boost::asio::awaitable<unsigned> stream(std::size_t host, std::string name,
+                                            stream_request wanted, std::string& text);
+
+    /// Starts one more engine.
+    engine& add_engine(engine_options options);
+
+    /// Kills all hosts at once and starts them again after a short delay.
+    boost::asio::awaitable<void> kill_all_hosts();
+
+    /// Whether a host is ready, now or within ten seconds.
+    boost::asio::awaitable<bool> ready(std::size_t host);
+
     /// Sends requests for changing adapters until `stop_traffic` is called.
     boost::asio::awaitable<void> model_traffic();
     void stop_traffic() noexcept
@@ -70,6 +92,11 @@
         traffic_ = false;
     }
 
+    [[nodiscard]] boost::asio::io_context& context() noexcept
+    {
+        return context_;
+    }
+
     [[nodiscard]] std::size_t hosts() const noexcept
     {
         return hosts_.size();
@@ -94,7 +121,7 @@
 
 private:
     void write_operator(std::string const& key, std::string const& value);
-    boost::asio::awaitable<bool> ready(std::size_t host);
+    void start_host(std::size_t host);
     [[nodiscard]] std::string settings_of(std::size_t host) const;
 
     boost::asio::io_context& context_;
--- a/review/tools/engine.cpp
+++ b/review/tools/engine.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <cstdlib>
+#include <sstream>
 #include <utility>
 
 namespace review
@@ -22,8 +23,6 @@
 
 constexpr std::size_t plain_body_bytes = 800;
 constexpr milliseconds unload_check{20};
-constexpr milliseconds event_time{20};
-constexpr unsigned events_per_stream = 5;
 
 std::uint64_t number_of(std::string const& text)
 {
@@ -57,7 +56,7 @@
     json::object entry{{"service", options_.service},
                        {"address", server_.address()},
                        {"zone", options_.zone},
-                       {"version", "v1"},
+                       {"version", options_.software},
                        {"slots", options_.slots},
                        {"state", leaving_ ? "draining" : "ready"},
                        {"coldLeftMs", 0},
@@ -95,7 +94,7 @@
 
 asio::awaitable<void> engine::announce()
 {
-    while (true)
+    while (!gone_)
     {
         write_entry();
         co_await pause_for(options_.heartbeat);
@@ -110,6 +109,14 @@
     return stored && stored->find("draining") != std::string::npos;
 }
 
+void engine::exit()
+{
+    gone_ = true;
+    server_.stop();
+    store_.erase("servers/" + options_.id);
+    record_.add(fmt::format("engine {}: exits", options_.id));
+}
+
 void engine::refuse(http_call& call, unsigned status)
 {
     call.set("X-Not-Executed", "1");
@@ -146,6 +153,14 @@
         report["active"] = active_;
         co_return call.reply(200, json::serialize(report));
     }
+    if (call.path() == "/api/kv-list")
+    {
+        json::array held;
+        for (auto const& part : parts_)
+            held.push_back(json::array{"", json::value(part), 100, options_.model});
+        json::object const answer{{"epoch", born_}, {"next", 1}, {"held", held}};
+        co_return call.reply(200, json::serialize(answer));
+    }
     if (attempt.empty())
         co_return refuse(call, 400);
     if (active_ >= options_.slots)
@@ -172,30 +187,41 @@
 asio::awaitable<void> engine::run_model(http_call& call)
 {
     auto const requested = call.header("X-Model");
+    auto const slash = requested.find('/');
     auto const name =
-        requested.substr(std::min(requested.find('/') + 1, requested.size()));
+        slash == std::string::npos ? std::string() : requested.substr(slash + 1);
     auto const wanted = number_of(call.header("X-Expect-Version"));
     auto const found = adapters_.find(name);
-    if (found == adapters_.end() || found->second.version == 0 ||
-        found->second.unloading || (wanted != 0 && wanted != found->second.version))
+    if (!name.empty() &&
+        (found == adapters_.end() || found->second.version == 0 ||
+         found->second.unloading || (wanted != 0 && wanted != found->second.version)))
         co_return refuse(call, 421);
-    auto& used = found->second;
-    ++used.active;
-    auto const version = used.version;
+    auto const version = name.empty() ? 1 : found->second.version;
+    if (!name.empty())
+        ++found->second.active;
     auto const attempt = call.header("X-Attempt-Id");
+    auto const after = number_of(call.header("Last-Event-Id"));
     runs_.push_back(
         {.attempt = attempt, .adapter = name, .version = version, .at = clock::now()});
+    if (name.empty())
+        record_.add(fmt::format("engine {}: runs {} after event {}", options_.id, attempt,
+                                after));
+    std::stringstream prompt(call.header("X-Prompt-Prefix"));
+    for (std::string part; std::getline(prompt, part, ',');)
+        parts_.insert(part.substr(0, part.find(':')));
+    auto const tokens = call.header("X-Token-Count");
+    auto const events = number_of(tokens.substr(tokens.find(',') + 1)) / 4;
     auto text = fmt::format(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Seal: {}\r\n"
         "X-Weights-Versions: {}\r\nContent-Type: text/event-stream\r\n"
         "Transfer-Encoding: chunked\r\n{}\r\n",
         attempt, options_.id, version, leaving_ ? "Server-Leaving: 1\r\n" : "");
     boost::system::error_code error;
-    for (auto next = number_of(call.header("Last-Event-Id")) + 1;
-         !error && next <= events_per_stream; ++next)
+    for (auto next = after + 1; !error && next <= events; ++next)
     {
-        co_await pause_for(event_time);
-        auto const event = fmt::format("id: {}\ndata: {}@{}\n\n", next, name, version);
+        co_await pause_for(options_.event_time);
+        auto const event = fmt::format("id: {}\ndata: {} {}@{}\n\n", next,
+                                       options_.software, name, version);
         text += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
         co_await asio::async_write(*call.socket, asio::buffer(text),
                                    asio::redirect_error(asio::use_awaitable, error));
@@ -206,7 +232,8 @@
                                    asio::redirect_error(asio::use_awaitable, error));
     call.answered = true;
     call.dropped = static_cast<bool>(error);
-    --adapters_[name].active;
+    if (!name.empty())
+        --adapters_[name].active;
 }
 
 void engine::handle_order(http_call& call)
--- a/review/tools/engine.hpp
+++ b/review/tools/engine.hpp
@@ -10,6 +10,7 @@
 #include "store.hpp"
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     milliseconds work{30};
     milliseconds load{250};
     milliseconds heartbeat{1'200};
+    milliseconds event_time{20};
+    /// Version of its software; its streams name it in each event.
+    std::string software = "v1";
 };
 
 /// One request that an engine began to run.
@@ -37,7 +41,7 @@
     std::string attempt;
     std::string adapter;
     std::uint64_t version = 0;
-    clock::time_point at;
+    clock::time_point at{};
 };
 
 /// An engine of the platform: it announces itself in the store, runs requests and carries
@@ -54,6 +58,9 @@
     /// Reports that it is leaving, at once; true if the store has accepted that.
     bool leave();
 
+    /// Exits: its connections and its entry end.
+    void exit();
+
     [[nodiscard]] engine_options const& options() const noexcept
     {
         return options_;
@@ -94,10 +101,11 @@
     std::uint64_t orders_ = 0;
     std::uint32_t active_ = 0;
     bool leaving_ = false;
-    // Its last entry without the field `sequence`
-    std::string announced_;
+    bool gone_ = false;
     std::map<std::string, adapter> adapters_;
     std::vector<engine_run> runs_;
+    // Parts of prompts that it keeps
+    std::set<std::string> parts_;
     http_server server_;
 };
 
--- a/review/tools/main.cpp
+++ b/review/tools/main.cpp
@@ -1,4 +1,5 @@
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <fmt/format.h>
@@ -177,14 +178,96 @@
     co_return older > 0 ? rule_broken : rule_held;
 }
 
+// The number of the last whole event of a text, or zero
+std::uint64_t last_event_of(std::string const& text)
+{
+    auto const end = text.rfind("\n\n");
+    auto const begin = end == std::string::npos ? end : text.rfind("id: ", end);
+    return begin == std::string::npos ? 0 : std::stoull(text.substr(begin + 4));
+}
+
+// ORDER: a stream that began on the old software goes on on the new one, after the last
+// engine of the old one has left and all hosts were killed
+asio::awaitable<int> rejoined_stream(scenario const& test)
+{
+    auto& site = test.site;
+    auto const options = [](char const* id, char const* zone, char const* software)
+    {
+        return engine_options{.id = id,
+                              .service = deployment::model_service,
+                              .zone = zone,
+                              .model = deployment::model,
+                              .slots = 64,
+                              .event_time = milliseconds(100),
+                              .software = software};
+    };
+    for (auto& each : site.engines())
+        if (each->options().service == deployment::model_service)
+            each->exit();
+    auto& old = site.add_engine(options("old-1", "zone-a", "v1"));
+    co_await pause_for(milliseconds(6'000));
+
+    // A stream begins on the old engine
+    auto& context = site.context();
+    std::string first;
+    stream_request const long_stream{.session = "5e55", .events = 90};
+    asio::co_spawn(context, site.stream(0, "first", long_stream, first),
+                   [](std::exception_ptr const& /*failure*/, unsigned /*status*/) {});
+    co_await pause_for(milliseconds(500));
+
+    // The release starts the new engines first; then the old one drains
+    site.add_engine(options("new-1", "zone-b", "v2"));
+    site.add_engine(options("new-2", "zone-c", "v2"));
+    co_await pause_for(milliseconds(1'500));
+    if (!old.leave())
+        co_return not_run;
+    co_await pause_for(milliseconds(1'500));
+
+    // The session's next request runs on a new engine
+    std::string second;
+    stream_request const short_stream{.session = "5e55", .events = 6};
+    co_await site.stream(1, "second", short_stream, second);
+
+    // The old engine exits after `drainMs` and a little more
+    co_await pause_for(milliseconds(300));
+    if (test.trouble)
+        asio::co_spawn(context, site.kill_all_hosts(), asio::detached);
+    co_await pause_for(milliseconds(400));
+    old.exit();
+    co_await pause_for(milliseconds(800));
+    auto const seen = last_event_of(first);
+    test.record.add(fmt::format("client: stream first broke off after event {}", seen));
+    if (seen == 0 || first.find("v2") != std::string::npos)
+        co_return not_run;
+    for (unsigned attempt = 0; attempt < 3; ++attempt)
+    {
+        if (!co_await site.ready(1))
+            co_return not_run;
+        std::string rest;
+        stream_request const resumed{.session = "5e55", .events = 90, .last_event = seen};
+        auto const name = fmt::format("resumed-{}", attempt);
+        auto const status = co_await site.stream(1, name, resumed, rest);
+        auto const joined = status == 200 && rest.find("v2") != std::string::npos;
+        test.record.add(fmt::format("result: resumed after event {}: status {}, {}", seen,
+                                    status,
+                                    joined ? "the rest is from the new software"
+                                           : "nothing from the new software"));
+        if (joined)
+            co_return rule_broken;
+        co_await pause_for(milliseconds(500));
+    }
+    co_return rule_held;
+}
+
 asio::awaitable<int> run_scenario(std::string name, scenario const& test)
 {
     std::map<std::string, std::function<asio::awaitable<int>(scenario const&)>> const
         scenarios{{"configuration", configuration_after_drill},
                   {"leaving", leaving_after_drill},
-                  {"version", version_after_drill}};
+                  {"version", version_after_drill},
+                  {"rejoined", rejoined_stream}};
     auto const found = scenarios.find(name);
-    if (found == scenarios.end() || !co_await test.site.start())
+    if (found == scenarios.end() || !co_await test.site.start(name != "rejoined"))
         co_return not_run;
     auto const result = co_await found->second(test);
     co_return test.site.alive() ? result : not_run;
--- a/review/tools/store.cpp
+++ b/review/tools/store.cpp
@@ -57,6 +57,13 @@
     return found.revision;
 }
 
+void store::erase(std::string const& key)
+{
+    if (!away_ && state_.items.erase(key) != 0)
+        record_.add(
+            fmt::format("store: {} removed at revision {}", key, ++state_.revision));
+}
+
 std::optional<std::string> store::value_of(std::string const& key) const
 {
     auto const found = state_.items.find(key);
--- a/review/tools/store.hpp
+++ b/review/tools/store.hpp
@@ -33,6 +33,9 @@
     /// Writes an item; returns its revision, or nothing while the store is away.
     std::optional<std::uint64_t> put(std::string const& key, std::string const& value);
 
+    /// Removes an item.
+    void erase(std::string const& key);
+
     /// The value of an item, or nothing.
     [[nodiscard]] std::optional<std::string> value_of(std::string const& key) const;
 
