Compare positions of the operator's data by the store's era

Cause: nothing read Store-Era. operator_items, watches, heartbeats and the copies between hosts compared bare revisions, which a restored store gives out again. A watch from a lost revision that exists again got 200 and skipped what changed below it; a host with the lost history looked like the newest one to others.

Change: store_position (era, revision) in all of these. A watch that is answered from another era reads everything again; pages of two eras are read again from the first; answers of an earlier era are errors. A value with a higher version of the operator is kept until the operator has written it again, and is passed on as kept. New fields in heartbeats and copies are added behind the known ones; builds without them count as era zero.

The store's stand-in can return to a copy in a new era.

--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/store_position.hpp>
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/peer/endpoint_usage.hpp>
 #include <marjorampath/peer/engine_status.hpp>
@@ -54,8 +55,10 @@
     bool leaving = false;
     /// Whether its process is about to exit; set in its last heartbeat.
     bool gone = false;
-    /// Revision of the operator's configuration that the sender has; zero if it has none.
-    std::uint64_t operator_revision = 0;
+    /// Last change of the operator that the sender has; zero if it has none.
+    store_position operator_change;
+    /// See `operator_position::kept_configuration`.
+    std::uint64_t kept_configuration = 0;
     /// Revision of its last endpoint listing.
     std::uint64_t listing_revision = 0;
     /// Age of that listing.
--- a/marjorampath/peer/relay_choice.cpp
+++ b/marjorampath/peer/relay_choice.cpp
@@ -34,6 +34,14 @@
                own.listing_age;
 }
 
+// Whether a host has changes of the operator that this one lacks, or kept a newer
+// configuration when the store was restored
+bool has_newer_operator_data(peer_heartbeat const& heartbeat, relay_query const& own)
+{
+    return heartbeat.operator_change > own.operator_change ||
+           heartbeat.kept_configuration > own.configuration_version;
+}
+
 // Removes the candidates in other zones if there are any in this host's zone
 void keep_same_zone(peer_table const& peers, relay_query const& own,
                     std::vector<host_id>& candidates)
@@ -83,12 +91,13 @@
         if (peers.is_responsive(host, now))
             responsive.push_back(&known.last_heartbeat);
 
-    auto newest_operator_revision = own.operator_revision;
+    store_position newest_operator_change;
     auto min_listing_age = duration::max();
     for (auto const* heartbeat : responsive)
     {
-        newest_operator_revision =
-            std::max(newest_operator_revision, heartbeat->operator_revision);
+        if (has_newer_operator_data(*heartbeat, own))
+            newest_operator_change =
+                std::max(newest_operator_change, heartbeat->operator_change);
         if (is_newer_listing(*heartbeat, own))
             min_listing_age =
                 std::min(min_listing_age, effective_listing_age(*heartbeat, own));
@@ -99,11 +108,12 @@
     std::vector<host_id> listing_candidates;
     for (auto const* heartbeat : responsive)
     {
-        if (heartbeat->operator_revision > own.operator_revision)
+        if (has_newer_operator_data(*heartbeat, own))
+        {
             newer_operator_hosts.push_back(heartbeat->host);
-        if (newest_operator_revision > own.operator_revision &&
-            heartbeat->operator_revision == newest_operator_revision)
-            newest_operator_hosts.push_back(heartbeat->host);
+            if (heartbeat->operator_change == newest_operator_change)
+                newest_operator_hosts.push_back(heartbeat->host);
+        }
         if (is_newer_listing(*heartbeat, own) &&
             effective_listing_age(*heartbeat, own) - min_listing_age <=
                 listing_age_tolerance)
--- a/marjorampath/peer/relay_choice.hpp
+++ b/marjorampath/peer/relay_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/store_position.hpp>
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/peer/peer_heartbeat.hpp>
 
@@ -21,8 +22,10 @@
     host_id host;
     /// Its zone.
     zone_id zone;
-    /// Revision of the operator's configuration that it has.
-    std::uint64_t operator_revision = 0;
+    /// Last change of the operator that it has.
+    store_position operator_change;
+    /// The operator's version of the configuration that it has.
+    std::uint64_t configuration_version = 0;
     /// Revision of its endpoint listing.
     std::uint64_t listing_revision = 0;
     /// Age of that listing.
@@ -43,8 +46,8 @@
 };
 
 /// Chooses by rendezvous hashing, so that many hosts that need an update at once do not
-/// all read it from the same host. Candidates are the hosts with the newest
-/// configuration, or with any newer one where all of those failed, and those with a newer
+/// all read it from the same host. Candidates are the hosts with the operator's newest
+/// change, or with any newer one where all of those failed, and those with a newer
 /// listing, or a younger one of the same revision, whose age is close to the lowest; of
 /// either only hosts of the same zone, if there are any.
 relay_choice choose_relays(peer_table const& peers, relay_query const& own,
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -128,6 +128,9 @@
   sequence @18 :UInt64;
   toPassOn @19 :Bool;
   relayed @20 :List(RelayedBeat);
+  # Zero from builds that do not know eras of the store.
+  operatorEra @21 :UInt64;
+  keptConfiguration @22 :UInt64;
 }
 
 struct LoadRequest {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -280,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 8, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 10, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1827,6 +1827,10 @@
   inline bool hasRelayed() const;
   inline  ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>::Reader getRelayed() const;
 
+  inline  ::uint64_t getOperatorEra() const;
+
+  inline  ::uint64_t getKeptConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1955,6 +1959,12 @@
   inline void adoptRelayed(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::RelayedBeat,  ::capnp::Kind::STRUCT>> disownRelayed();
 
+  inline  ::uint64_t getOperatorEra();
+  inline void setOperatorEra( ::uint64_t value);
+
+  inline  ::uint64_t getKeptConfiguration();
+  inline void setKeptConfiguration( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3983,6 +3993,34 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerBeat::Reader::getOperatorEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerBeat::Builder::getOperatorEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PeerBeat::Builder::setOperatorEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerBeat::Reader::getKeptConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerBeat::Builder::getKeptConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void PeerBeat::Builder::setKeptConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/entry/entry_metrics.hpp
+++ b/serving/entry/entry_metrics.hpp
@@ -44,6 +44,10 @@
 inline constexpr metric relay_reads_metric{
     .name = "marjorampath_relay_reads_total",
     .help = "Reads of other hosts' views of the store by result."};
+/// Restorations of the store from a copy that this host noticed.
+inline constexpr metric history_changes_metric{
+    .name = "marjorampath_store_history_changes_total",
+    .help = "Times that the store was found restored from a copy, by what was read."};
 /// Time to the first byte of an endpoint's answer.
 inline constexpr metric first_byte_metric{
     .name = "marjorampath_first_byte_seconds",
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -125,10 +125,18 @@
     // Header with the time for which the store is known to have been available, in
     // milliseconds
     static constexpr char const* available_for_header = "Store-Available-Ms";
-    // Headers with the last change of the operator that a host has, and the revision of
-    // the store up to which it has all changes
-    static constexpr char const* operator_change_header = "Operator-Change";
-    static constexpr char const* operator_complete_header = "Operator-Complete";
+    // Headers with a position of the store; without the era if that is zero
+    struct position_field
+    {
+        char const* revision;
+        char const* era;
+    };
+    // Last change of the operator that a host has, and the position of the store up to
+    // which it has all changes
+    static constexpr position_field operator_change_field{"Operator-Change",
+                                                          "Operator-Change-Era"};
+    static constexpr position_field operator_complete_field{"Operator-Complete",
+                                                            "Operator-Complete-Era"};
     // Fields that a host adds to a request that it passes on, in bytes
     static constexpr std::uint32_t max_forward_fields_bytes = 1'024;
     // Callers may open this many times as many connections as other hosts that pass
@@ -176,10 +184,10 @@
         duration age{0};
         // Time for which the peer knows of no outage of the store
         duration available_for{0};
-        // Last change of the operator that the peer has, and the revision of the store up
+        // Last change of the operator that the peer has, and the position of the store up
         // to which it has all changes; zero from builds that do not say so
-        std::uint64_t operator_change = 0;
-        std::uint64_t operator_complete = 0;
+        store_position operator_change;
+        store_position operator_complete;
     };
 
     // The operator's data as text for hosts that have it up to a position
@@ -250,6 +258,11 @@
     // A number in a field of a peer's answer
     static std::optional<std::uint64_t> number_field(http_fetch_result const& fetched,
                                                      char const* name);
+    // Writes a position into an answer to a peer, and reads one from a peer's answer
+    static void set_position(caller_answer& answer, position_field const& field,
+                             store_position position);
+    static store_position read_position(http_fetch_result const& fetched,
+                                        position_field const& field);
     // A field of a peer's answer in milliseconds
     static std::optional<duration> duration_field(http_fetch_result const& fetched,
                                                   char const* name);
@@ -261,8 +274,11 @@
     void apply_endpoint_change(endpoint_event const& change, std::string_view source);
     // Takes an endpoint out of use whose answer said that it is leaving
     void note_leaving(endpoint_announcement const& endpoint);
-    // Applies an update of the operator's data
-    void apply_operator_update(operator_update const& update, std::string_view source);
+    // Applies an update of the operator's data, which was known up to `before`
+    void apply_operator_update(operator_update const& update, store_position before,
+                               std::string_view source);
+    // Logs that the store was restored from a copy if the operator's data shows so
+    void note_operator_history(store_position before, std::string_view source);
     // Puts a configuration in force
     void apply_configuration(std::shared_ptr<deployment const> const& configuration,
                              std::string_view source);
--- a/serving/entry/entry_node_fleet.inl
+++ b/serving/entry/entry_node_fleet.inl
@@ -65,7 +65,9 @@
 void entry_node<Platform>::fill_heartbeat(peer_heartbeat& heartbeat)
 {
     auto const now = boot_now();
-    heartbeat.operator_revision = source_.operator_data().revision;
+    auto const operator_data = source_.operator_data();
+    heartbeat.operator_change = operator_data.change;
+    heartbeat.kept_configuration = operator_data.kept_configuration;
     heartbeat.listing_revision = catalog_.revision();
     heartbeat.listing_age =
         catalog_.listed_at() ? now - *catalog_.listed_at() : duration{0};
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -46,9 +46,8 @@
         answer.set(listing_age_header, milliseconds_since(*catalog_.listed_at()));
         answer.set(available_for_header, milliseconds_since(*catalog_.available_since()));
     }
-    answer.set(operator_change_header, fmt::to_string(source_.operator_data().revision));
-    answer.set(operator_complete_header,
-               fmt::to_string(source_.operator_complete_revision()));
+    set_position(answer, operator_change_field, source_.operator_data().change);
+    set_position(answer, operator_complete_field, source_.operator_complete());
     if (message[http::field::if_none_match] == listing_tag(catalog_.revision()))
     {
         answer.result(http::status::not_modified);
@@ -92,8 +91,10 @@
             std::from_chars(path.data() + found + name.size(), path.data() + path.size(),
                             number);
     };
-    number_after("after=", known.revision);
-    number_after("configuration=", known.configuration_revision);
+    number_after("after=", known.change.revision);
+    number_after("configuration=", known.configuration.revision);
+    number_after("after-era=", known.change.era);
+    number_after("configuration-era=", known.configuration.era);
     return known;
 }
 
@@ -115,6 +116,24 @@
     return number;
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::set_position(caller_answer& answer,
+                                        position_field const& field,
+                                        store_position position)
+{
+    answer.set(field.revision, fmt::to_string(position.revision));
+    if (position.era != 0)
+        answer.set(field.era, fmt::to_string(position.era));
+}
+
+template <entry_platform Platform>
+store_position entry_node<Platform>::read_position(http_fetch_result const& fetched,
+                                                   position_field const& field)
+{
+    return {.era = number_field(fetched, field.era).value_or(0),
+            .revision = number_field(fetched, field.revision).value_or(0)};
+}
+
 template <entry_platform Platform>
 std::optional<duration>
 entry_node<Platform>::duration_field(http_fetch_result const& fetched, char const* name)
@@ -181,8 +200,8 @@
         .age = age + took,
         .available_for =
             duration_field(fetched, available_for_header).value_or(age) + took,
-        .operator_change = number_field(fetched, operator_change_header).value_or(0),
-        .operator_complete = number_field(fetched, operator_complete_header).value_or(0)};
+        .operator_change = read_position(fetched, operator_change_field),
+        .operator_complete = read_position(fetched, operator_complete_field)};
 }
 
 template <entry_platform Platform>
@@ -218,7 +237,9 @@
     return choose_relays(fleet_.peers(),
                          {.host = host_id::of(settings_.host),
                           .zone = zone_id::of(settings_.zone),
-                          .operator_revision = source_.operator_data().revision,
+                          .operator_change = source_.operator_data().change,
+                          .configuration_version =
+                              context_.routes ? context_.routes->source().version : 0,
                           .listing_revision = catalog_.revision(),
                           .listing_age = listing_age(now),
                           .other_zone_penalty = times_.other_zone_penalty,
@@ -235,13 +256,16 @@
         co_return;
     reading_peer_operator_ = true;
     auto const known = source_.operator_data();
-    auto path = fmt::format("{}{}&configuration={}", operator_relay_path, known.revision,
-                            known.configuration_revision);
+    auto path = fmt::format("{}{}&configuration={}&after-era={}&configuration-era={}",
+                            operator_relay_path, known.change.revision,
+                            known.configuration.revision, known.change.era,
+                            known.configuration.era);
     auto const relayed = co_await fetch_from_peer(
         *choice.operator_update, std::move(path), std::nullopt, failed_operator_relays_);
     reading_peer_operator_ = false;
     if (!relayed)
         co_return;
+    auto const before = source_.operator_complete();
     auto const update = source_.read_relayed_operator(relayed->body);
     if (update.error)
     {
@@ -250,10 +274,11 @@
         failed_operator_relays_.add(*choice.operator_update, boot_now());
         co_return;
     }
-    log_event(event::operator_relayed, "peer", relayed->peer, "revision", update.revision,
-              "own_revision", known.revision, "bytes", relayed->bytes, "took_ms",
-              relayed->took.count() / 1'000'000);
-    apply_operator_update(update, "peer");
+    log_event(event::operator_relayed, "peer", relayed->peer, "revision",
+              update.position.revision, "era", update.position.era, "own_revision",
+              known.change.revision, "own_era", known.change.era, "bytes", relayed->bytes,
+              "took_ms", relayed->took.count() / 1'000'000);
+    apply_operator_update(update, before, "peer");
 }
 
 template <entry_platform Platform>
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -83,9 +83,10 @@
             continue;
         }
         auto const requested_at = boot_now();
-        auto const after = last_watch_failed_ ? 0 : source_.operator_complete_revision();
+        auto const before = source_.operator_complete();
+        auto const after = last_watch_failed_ ? store_position{} : before;
         operator_update update;
-        if (after == 0)
+        if (after == store_position{})
             update = co_await source_.read_operator();
         else
             update = co_await source_.watch_operator(after, times_.watch_wait);
@@ -93,7 +94,7 @@
             break;
         fallback_.on_operator_read(!update.error, boot_now());
         // What arrived before a failure counts as handed over
-        apply_operator_update(update, "store");
+        apply_operator_update(update, before, "store");
         // After any failure the store may no longer have the changes since this revision,
         // so everything is read again
         last_watch_failed_ = static_cast<bool>(update.error);
@@ -101,18 +102,37 @@
             continue;
 
         log_event(event::operator_read_failed, "error", update.error.message(), "after",
-                  after, "bytes", update.received, "took_ms",
+                  after.revision, "bytes", update.received, "took_ms",
                   (boot_now() - requested_at).count() / 1'000'000, "revision",
-                  source_.operator_data().revision, "config",
+                  source_.operator_data().change.revision, "era", before.era, "config",
                   context_.routes ? context_.routes->source().version : 0);
         co_await wait_for(watch_timer_, times_.read_pause);
     }
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::note_operator_history(store_position before,
+                                                 std::string_view source)
+{
+    auto const complete = source_.operator_complete();
+    if (before == store_position{} || complete.era == before.era)
+        return;
+    log_event(event::operator_history_changed, "old_era", before.era, "old_revision",
+              before.revision, "era", complete.era, "revision", complete.revision, "kept",
+              source_.operator_kept(), "config",
+              context_.routes ? context_.routes->source().version : 0, "source", source);
+    context_.metrics.count(history_changes_metric, "view", "operator");
+}
+
 template <entry_platform Platform>
 void entry_node<Platform>::apply_operator_update(operator_update const& update,
+                                                 store_position before,
                                                  std::string_view source)
 {
+    // A value may have changed without its position
+    if (update.configuration || !update.versions.empty())
+        operator_relay_ = {};
+    note_operator_history(before, source);
     for (auto const& key : update.ignored)
         log_event(event::deployment_ignored, "key", key, "source", source);
     if (update.configuration)
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <marjorampath/core/store_position.hpp>
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/deployment/adapter_version.hpp>
 #include <marjorampath/deployment/deployment.hpp>
@@ -41,7 +42,7 @@
     std::string relayed;
 };
 
-/// All that the operator published, or the changes since a revision. What arrived before
+/// All that the operator published, or the changes since a position. What arrived before
 /// a read failed is valid, but not all that was asked for.
 struct operator_update
 {
@@ -49,8 +50,8 @@
     std::error_code error;
     /// Bytes that were received before it ended.
     std::size_t received = 0;
-    /// Revision after which the next watch starts.
-    std::uint64_t revision = 0;
+    /// Position after which the next watch starts.
+    store_position position;
     /// Newest configuration in the update, or null.
     std::shared_ptr<deployment const> configuration;
     /// Announced versions of adapters.
@@ -63,10 +64,9 @@
 /// configuration and the adapter versions. It reads them from the store, and writes and
 /// parses the copies that hosts relay to each other.
 template <class Source>
-concept entry_view_source = requires(Source& source, std::uint64_t revision,
+concept entry_view_source = requires(Source& source, store_position position,
                                      std::chrono::milliseconds wait,
-                                     operator_position position,
-                                     std::string const& relayed)
+                                     operator_position known, std::string const& relayed)
 {
     // Reads all endpoints
     {
@@ -76,9 +76,9 @@
     {
         source.read_operator()
         } -> std::same_as<boost::asio::awaitable<operator_update>>;
-    // Waits up to `wait` for changes after a revision
+    // Waits up to `wait` for changes after a position
     {
-        source.watch_operator(revision, wait)
+        source.watch_operator(position, wait)
         } -> std::same_as<boost::asio::awaitable<operator_update>>;
     // Parses another host's `endpoint_listing::relayed`
     {
@@ -88,17 +88,21 @@
     {
         source.operator_data()
         } -> std::same_as<operator_position>;
-    // Revision of the store up to which this host has all changes of the operator; zero
+    // Position of the store up to which this host has all changes of the operator; zero
     // if it has not read everything yet
     {
-        source.operator_complete_revision()
-        } -> std::same_as<std::uint64_t>;
-    // Notes that a host with the given last change has all changes up to a revision
-    source.confirm_operator(revision, revision);
+        source.operator_complete()
+        } -> std::same_as<store_position>;
+    // Number of the operator's items whose values are newer than those of the store
+    {
+        source.operator_kept()
+        } -> std::same_as<std::size_t>;
+    // Notes that a host with the given last change has all changes up to a position
+    source.confirm_operator(position, position);
     // Writes what another host lacks of the operator's data as text for it, and parses
     // that text
     {
-        source.relay_operator(position)
+        source.relay_operator(known)
         } -> std::same_as<std::string>;
     {
         source.read_relayed_operator(relayed)
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -235,7 +235,9 @@
     encode(value.address, wire.initAddress());
     wire.setLeaving(value.leaving);
     wire.setGone(value.gone);
-    wire.setOperatorRevision(value.operator_revision);
+    wire.setOperatorRevision(value.operator_change.revision);
+    wire.setOperatorEra(value.operator_change.era);
+    wire.setKeptConfiguration(value.kept_configuration);
     wire.setListingRevision(value.listing_revision);
     wire.setListingAge(encode_duration(value.listing_age));
     wire.setTransit(value.loads_in_transit);
@@ -263,7 +265,9 @@
     decode(wire.getAddress(), value.address);
     value.leaving = wire.getLeaving();
     value.gone = wire.getGone();
-    value.operator_revision = wire.getOperatorRevision();
+    value.operator_change = {.era = wire.getOperatorEra(),
+                             .revision = wire.getOperatorRevision()};
+    value.kept_configuration = wire.getKeptConfiguration();
     value.listing_revision = wire.getListingRevision();
     value.listing_age = decode_duration(wire.getListingAge());
     value.loads_in_transit = wire.getTransit();
--- a/serving/remote/http_reader.cpp
+++ b/serving/remote/http_reader.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http.hpp>
 
 #include <charconv>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 namespace marjorampath::serving
@@ -41,13 +43,17 @@
     }
 }
 
-// The header `X-Revision`; zero if it is missing or not a number
-std::uint64_t revision_of(http::response<http::string_body> const& answer)
+// A header with a number; empty if it is missing or not a number
+std::optional<std::uint64_t> number_field(http::response<http::string_body> const& answer,
+                                          std::string_view name)
 {
-    auto const text = answer["X-Revision"];
-    std::uint64_t revision = 0;
-    std::from_chars(text.data(), text.data() + text.size(), revision);
-    return revision;
+    auto const text = answer[boost::core::string_view(name.data(), name.size())];
+    std::uint64_t number = 0;
+    auto const* end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, number);
+    if (text.empty() || read.ec != std::errc{} || read.ptr != end)
+        return std::nullopt;
+    return number;
 }
 
 } // namespace
@@ -106,11 +112,24 @@
     auto answer = parser.release();
     connected_ = answer.keep_alive();
     result.error = error_of_status(answer.result());
-    result.revision = revision_of(answer);
+    result.revision = number_field(answer, "X-Revision").value_or(0);
+    read_era(answer, result);
     result.body = std::move(answer.body());
     co_return result;
 }
 
+void http_reader::read_era(http::response<http::string_body> const& answer,
+                           http_read_result& result) const
+{
+    auto const& name = options_.era_field;
+    if (name.empty() || answer.find(name) == answer.end())
+        return;
+    auto const era = number_field(answer, name);
+    if (!era && !result.error)
+        result.error = remote_error::malformed;
+    result.era = era.value_or(0);
+}
+
 asio::awaitable<http_read_result> http_reader::get(std::string target,
                                                    std::chrono::milliseconds extra_time)
 {
--- a/serving/remote/http_reader.hpp
+++ b/serving/remote/http_reader.hpp
@@ -4,6 +4,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -22,6 +24,8 @@
     std::size_t received = 0;
     /// Value of the header `X-Revision`; zero if it is missing.
     std::uint64_t revision = 0;
+    /// Value of the header `options::era_field`; zero if it is missing.
+    std::uint64_t era = 0;
     /// Body of the answer.
     std::string body;
 };
@@ -41,6 +45,8 @@
         std::chrono::milliseconds timeout{2000};
         /// Maximum size of the body of an answer.
         std::size_t max_body_bytes = 1'048'576;
+        /// Header with the number of the server's era; empty if it sends none.
+        std::string era_field;
     };
 
     /// Creates a reader without connecting.
@@ -63,6 +69,11 @@
     boost::asio::awaitable<http_read_result> exchange(std::string const& target,
                                                       std::chrono::milliseconds timeout);
 
+    // Reads the era that an answer names
+    void
+    read_era(boost::beast::http::response<boost::beast::http::string_body> const& answer,
+             http_read_result& result) const;
+
     options options_;
     // The connection
     boost::beast::tcp_stream stream_;
--- a/serving/remote/remote_error.cpp
+++ b/serving/remote/remote_error.cpp
@@ -30,6 +30,10 @@
             return "unexpected HTTP status";
         case remote_error::malformed:
             return "malformed answer";
+        case remote_error::history_changed:
+            return "the store was restored from a copy meanwhile";
+        case remote_error::history_lost:
+            return "answer from before the store was restored";
         }
         return "unknown error";
     }
--- a/serving/remote/remote_error.hpp
+++ b/serving/remote/remote_error.hpp
@@ -17,7 +17,12 @@
     /// The service answered with any other status.
     unexpected_status,
     /// The answer could not be parsed.
-    malformed
+    malformed,
+    /// The store was restored from a copy since the position that was asked for, or while
+    /// its pages were read.
+    history_changed,
+    /// The answer is from before the store was restored from a copy.
+    history_lost
 };
 
 /// Returns the error category of remote_error.
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -101,6 +101,11 @@
     event_entry{listing_renewed, info, "listing_renewed",
                 "A newer listing followed one that had aged; `age_ms` is how old that "
                 "one became."},
+    event_entry{operator_history_changed, warning, "operator_history_changed",
+                "The store was restored from a copy, and the operator's data was read "
+                "again from its beginning. `kept` items are newer than those of the copy "
+                "and stay in force until the operator has written them again; `config` "
+                "is the configuration in force before."},
 
     event_entry{link_opened, info, "link_opened", "A connection to a host was opened."},
     event_entry{link_lost, warning, "link_lost",
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -50,6 +50,7 @@
     operator_relayed = 220,
     listing_aged = 221,
     listing_renewed = 222,
+    operator_history_changed = 223,
 
     link_opened = 300,
     link_lost = 301,
--- a/tests/process/entry_process.cpp
+++ b/tests/process/entry_process.cpp
@@ -122,6 +122,15 @@
     return false;
 }
 
+bool entry_process::has_logged(std::string const& text) const
+{
+    std::ifstream log(file("node.log"));
+    for (std::string line; std::getline(log, line);)
+        if (line.find(text) != std::string::npos)
+            return true;
+    return false;
+}
+
 bool entry_process::takes_callers() const
 {
     boost::asio::io_context context;
--- a/tests/process/entry_process.hpp
+++ b/tests/process/entry_process.hpp
@@ -42,6 +42,21 @@
         return *node_;
     }
 
+    /// Address of the store.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint store() const
+    {
+        return store_->address();
+    }
+
+    /// Address of the endpoint.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
+    {
+        return endpoint_->address();
+    }
+
+    /// Whether the node's log has a text.
+    [[nodiscard]] bool has_logged(std::string const& text) const;
+
     /// Whether the endpoint began to run a request.
     [[nodiscard]] bool has_run(std::string const& attempt) const;
 
--- a/tests/unit/peer/listing_fleet.hpp
+++ b/tests/unit/peer/listing_fleet.hpp
@@ -41,7 +41,7 @@
     {
         heartbeats_.fill_heartbeat = [this](std::uint32_t index, peer_heartbeat& to)
         {
-            to.operator_revision = hosts_[index].operator_revision;
+            to.operator_change = {.revision = hosts_[index].operator_revision};
             to.listing_revision = hosts_[index].catalog.revision();
             to.listing_age = age(index);
         };
@@ -207,7 +207,7 @@
         return choose_relays(heartbeats_.table(index),
                              {.host = heartbeat_fleet::host_of(index),
                               .zone = heartbeats_.zone(index),
-                              .operator_revision = host.operator_revision,
+                              .operator_change = {.revision = host.operator_revision},
                               .listing_revision = host.catalog.revision(),
                               .listing_age = age(index),
                               .other_zone_penalty = other_zone_penalty,
--- a/tests/unit/peer/relay_age_test.cpp
+++ b/tests/unit/peer/relay_age_test.cpp
@@ -157,7 +157,7 @@
                                        .zone = zone_of(index),
                                        .incarnation = 1,
                                        .address = address_of(index),
-                                       .operator_revision = 1,
+                                       .operator_change = {.revision = 1},
                                        .listing_revision = sender.catalog.revision(),
                                        .listing_age = age(sender)};
         for (auto& host : hosts_)
@@ -170,7 +170,7 @@
         auto const choice = choose_relays(host.table,
                                           {.host = host_of(index),
                                            .zone = zone_of(index),
-                                           .operator_revision = 1,
+                                           .operator_change = {.revision = 1},
                                            .listing_revision = host.catalog.revision(),
                                            .listing_age = age(host),
                                            .other_zone_penalty = other_zone_penalty},
--- a/tests/unit/peer/relay_choice_test.cpp
+++ b/tests/unit/peer/relay_choice_test.cpp
@@ -40,7 +40,7 @@
              .zone = zone_id::of("z"),
              .incarnation = 1,
              .address = address_of(index),
-             .operator_revision = reader ? 20U : 10U,
+             .operator_change = {.revision = reader ? 20U : 10U},
              .listing_revision = reader ? 200U : 100U,
              .listing_age = reader ? duration(index * 20ms) : duration(2s)},
             now);
@@ -62,7 +62,7 @@
         auto const choice = choose_relays(make_table(self, now),
                                           {.host = host_of(self),
                                            .zone = zone_id::of("z"),
-                                           .operator_revision = 10,
+                                           .operator_change = {.revision = 10},
                                            .listing_revision = 100},
                                           now);
         BOOST_REQUIRE(choice.operator_update);
@@ -85,7 +85,7 @@
     auto const table = make_table(50, now);
     relay_query const own{.host = host_of(50),
                           .zone = zone_id::of("z"),
-                          .operator_revision = 20,
+                          .operator_change = {.revision = 20},
                           .listing_revision = 200};
     auto const known = choose_relays(table, own, now);
     BOOST_TEST(!known.operator_update);
@@ -103,7 +103,7 @@
     auto const table = make_table(50, now);
     relay_query query{.host = host_of(50),
                       .zone = zone_id::of("z"),
-                      .operator_revision = 10,
+                      .operator_change = {.revision = 10},
                       .listing_revision = 100};
     auto const first = choose_relays(table, query, now);
     BOOST_REQUIRE(first.listing);
@@ -133,10 +133,11 @@
                         .zone = zone_id::of("z"),
                         .incarnation = 1,
                         .address = between,
-                        .operator_revision = 15},
+                        .operator_change = {.revision = 15}},
                        now);
-    relay_query query{
-        .host = host_of(50), .zone = zone_id::of("z"), .operator_revision = 10};
+    relay_query query{.host = host_of(50),
+                      .zone = zone_id::of("z"),
+                      .operator_change = {.revision = 10}};
     for (std::uint32_t index = 0; index < reader_count; ++index)
     {
         auto const chosen = choose_relays(table, query, now).operator_update;
@@ -147,13 +148,48 @@
     BOOST_TEST((choose_relays(table, query, now).operator_update == between));
 }
 
+// A host that knew the history before the store was restored looked like the newest one,
+// and hosts that started later read from it
+BOOST_AUTO_TEST_CASE(a_host_of_an_earlier_era_is_not_newer)
+{
+    time_point const now{1'000s};
+    auto const table = make_table(50, now);
+    relay_query query{.host = host_of(50),
+                      .zone = zone_id::of("z"),
+                      .operator_change = {.era = 1, .revision = 3}};
+    BOOST_TEST(!choose_relays(table, query, now).operator_update);
+    query.operator_change = {.revision = 10};
+    BOOST_TEST(choose_relays(table, query, now).operator_update.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_kept_a_newer_configuration_is_read)
+{
+    time_point const now{1'000s};
+    store_position const change{.era = 1, .revision = 20};
+    peer_table table({.host = host_of(1), .address = address_of(1)}, {}, {});
+    table.on_heartbeat({.host = host_of(2),
+                        .zone = zone_id::of("z"),
+                        .incarnation = 1,
+                        .address = address_of(2),
+                        .operator_change = change,
+                        .kept_configuration = 4},
+                       now);
+    relay_query query{.host = host_of(1),
+                      .zone = zone_id::of("z"),
+                      .operator_change = change,
+                      .configuration_version = 3};
+    BOOST_TEST(choose_relays(table, query, now).operator_update.has_value());
+    query.configuration_version = 4;
+    BOOST_TEST(!choose_relays(table, query, now).operator_update);
+}
+
 BOOST_AUTO_TEST_CASE(a_younger_listing_of_the_same_revision_is_read)
 {
     time_point const now{1'000s};
     auto const table = make_table(50, now);
     relay_query query{.host = host_of(50),
                       .zone = zone_id::of("z"),
-                      .operator_revision = 20,
+                      .operator_change = {.revision = 20},
                       .listing_revision = 200,
                       .listing_age = 1'600ms};
     BOOST_TEST(choose_relays(table, query, now).listing.has_value());
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -66,7 +66,7 @@
 
 store_item endpoint_item(std::string const& value)
 {
-    return {.key = "servers/i-1", .value = value, .revision = 5};
+    return {.key = "servers/i-1", .value = value, .position = {.revision = 5}};
 }
 
 } // namespace
@@ -199,7 +199,10 @@
         R"({"service":"s","address":"10.1.0.9:80","zone":"z","version":"v1","slots":6,)"
         R"("state":"ready","coldLeftMs":0,"sequence":1})";
     auto const read = [&](std::string const& name)
-    { return read_endpoint({.key = "servers/" + name, .value = value, .revision = 5}); };
+    {
+        return read_endpoint(
+            {.key = "servers/" + name, .value = value, .position = {.revision = 5}});
+    };
     BOOST_TEST(read("i-7f3a91c2").has_value());
     for (std::string const& name :
          {std::string("i\r\nX-Model: m"), std::string("i 1"), std::string("i\0", 2),
@@ -223,7 +226,7 @@
             {"key":"c","value":"***","revision":5},7],"truncated":true,"currentRev":9})",
         "items");
     BOOST_REQUIRE(page);
-    BOOST_TEST(page->revision == 9u);
+    BOOST_TEST(page->position.revision == 9u);
     BOOST_TEST(page->truncated);
     BOOST_REQUIRE(page->items.size() == 1u);
     BOOST_TEST(page->items[0].value == "hi");
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -1,8 +1,12 @@
+#include <serving/remote/remote_error.hpp>
 #include <tests/unit/platform/store_fixture.hpp>
 
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <exception>
+#include <optional>
+#include <utility>
 
 using namespace marjorampath;
 using namespace marjorampath::test;
@@ -46,12 +50,12 @@
     set_pages(page_items, true);
     auto const failed = run(client.read_operator());
     BOOST_TEST(static_cast<bool>(failed.error));
-    BOOST_TEST(client.operator_data().revision == before.revision);
+    BOOST_TEST(client.operator_data().change.revision == before.change.revision);
 
     set_pages(page_items, false);
     auto const whole = run(client.read_operator());
     BOOST_TEST(!whole.error);
-    BOOST_TEST(client.operator_data().revision == before.revision + 2);
+    BOOST_TEST(client.operator_data().change.revision == before.change.revision + 2);
     BOOST_TEST(whole.versions.size() == 1U);
 }
 
@@ -86,7 +90,7 @@
     auto const update = receiver.read_relayed_operator(sender.relay_operator(before));
     BOOST_REQUIRE(update.configuration);
     BOOST_TEST(update.configuration->version == 2U);
-    BOOST_TEST(receiver.operator_data().revision == before.revision);
+    BOOST_TEST(receiver.operator_data().change.revision == before.change.revision);
 }
 
 // A text for others was kept although a later read had added items below its position
@@ -118,13 +122,17 @@
     write_configuration(1);
     auto client = make_client();
     BOOST_REQUIRE(!run(client.read_operator()).error);
-    auto const last = client.operator_data().revision;
-    auto const complete = client.operator_complete_revision();
-    client.confirm_operator(last + 1, complete + 9);
-    BOOST_TEST(client.operator_complete_revision() == complete);
-    client.confirm_operator(last, complete + 9);
-    BOOST_TEST(client.operator_complete_revision() == complete + 9);
-    BOOST_TEST(client.operator_data().revision == last);
+    auto const last = client.operator_data().change;
+    auto const complete = client.operator_complete();
+    auto later = complete;
+    later.revision += 9;
+    auto other = last;
+    ++other.revision;
+    client.confirm_operator(other, later);
+    BOOST_TEST((client.operator_complete() == complete));
+    client.confirm_operator(last, later);
+    BOOST_TEST((client.operator_complete() == later));
+    BOOST_TEST((client.operator_data().change == last));
 }
 
 BOOST_AUTO_TEST_CASE(a_watch_goes_on_from_the_last_whole_read)
@@ -135,12 +143,11 @@
     BOOST_REQUIRE(!run(client.read_operator()).error);
     write_configuration(2);
     write_version("a1", 5);
-    auto const update =
-        run(client.watch_operator(client.operator_complete_revision(), 100ms));
+    auto const update = run(client.watch_operator(client.operator_complete(), 100ms));
     BOOST_REQUIRE(update.configuration);
     BOOST_TEST(update.configuration->version == 2U);
     BOOST_TEST(update.versions.size() == 1U);
-    BOOST_TEST(client.operator_data().revision == update.revision);
+    BOOST_TEST(client.operator_data().change.revision == update.position.revision);
 }
 
 // A host behind a full link got the listing and never the operator's data
@@ -185,6 +192,102 @@
     BOOST_TEST(relayed.endpoints[1].revision == listing.endpoints[1].revision);
 }
 
+// The revision of such a watch may exist again, and then its answer lacks the changes
+// below it
+BOOST_AUTO_TEST_CASE(a_watch_of_a_lost_history_does_not_go_on)
+{
+    using namespace std::chrono_literals;
+    write_configuration(1);
+    auto client = make_client();
+    call_store("/standin/copy");
+    write_version("a1", 2);
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    auto const before = client.operator_complete();
+
+    call_store("/standin/restore");
+    write_configuration(2);
+    write_version("a2", 7);
+    auto const update = run(client.watch_operator(before, 100ms));
+    BOOST_TEST((update.error == serving::remote_error::history_changed));
+    BOOST_TEST((client.operator_complete() == before));
+
+    auto const again = run(client.read_operator());
+    BOOST_TEST(!again.error);
+    BOOST_REQUIRE(again.configuration);
+    BOOST_TEST(again.configuration->version == 2U);
+    BOOST_TEST(client.operator_complete().era == before.era + 1);
+    BOOST_TEST(client.operator_complete().revision <= before.revision + 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_that_waits_while_the_store_is_restored_ends)
+{
+    using namespace std::chrono_literals;
+    write_configuration(1);
+    auto client = make_client();
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    call_store("/standin/copy");
+    std::optional<serving::operator_update> update;
+    asio::co_spawn(loop, client.watch_operator(client.operator_complete(), 30s),
+                   [&](std::exception_ptr const&, serving::operator_update value)
+                   { update = std::move(value); });
+    loop.run_for(50ms);
+    call_store("/standin/restore");
+    loop.run_for(500ms);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST((update->error == serving::remote_error::history_changed));
+}
+
+// A host that had started before it, or that others tell, knows better than the copy
+BOOST_AUTO_TEST_CASE(a_configuration_newer_than_the_copys_is_kept_and_passed_on)
+{
+    write_configuration(3);
+    call_store("/standin/copy");
+    write_configuration(4);
+    auto keeper = make_client();
+    BOOST_REQUIRE(!run(keeper.read_operator()).error);
+    call_store("/standin/restore");
+    BOOST_REQUIRE(!run(keeper.read_operator()).error);
+    BOOST_TEST(keeper.operator_kept() == 1U);
+    BOOST_TEST(keeper.operator_data().kept_configuration == 4U);
+
+    auto started = make_client();
+    BOOST_REQUIRE(run(started.read_operator()).configuration->version == 3U);
+    BOOST_TEST((started.operator_data().change == keeper.operator_data().change));
+    auto const update =
+        started.read_relayed_operator(keeper.relay_operator(started.operator_data()));
+    BOOST_REQUIRE(update.configuration);
+    BOOST_TEST(update.configuration->version == 4U);
+
+    // No copy of an earlier position brings it back
+    write_configuration(4);
+    BOOST_REQUIRE(!run(started.read_operator()).error);
+    BOOST_TEST(started.operator_kept() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_of_a_host_that_missed_the_restoration_replaces_nothing)
+{
+    write_configuration(1);
+    call_store("/standin/copy");
+    write_version("a1", 2);
+    auto behind = make_client();
+    BOOST_REQUIRE(!run(behind.read_operator()).error);
+    call_store("/standin/restore");
+    write_configuration(2);
+    auto client = make_client();
+    BOOST_REQUIRE(!run(client.read_operator()).error);
+    auto const before = client.operator_data();
+    auto const update = client.read_relayed_operator(behind.relay_operator({}));
+    BOOST_TEST(!update.configuration);
+    BOOST_TEST((client.operator_data() == before));
+
+    // The other way round the host that missed it gets the new configuration
+    auto const joined =
+        behind.read_relayed_operator(client.relay_operator(behind.operator_data()));
+    BOOST_REQUIRE(joined.configuration);
+    BOOST_TEST(joined.configuration->version == 2U);
+    BOOST_TEST((behind.operator_data().change == before.change));
+}
+
 BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_parsed_hides_no_later_one)
 {
     write_configuration(1);
