Compare listings of endpoints by the store's era

Cause: endpoint_catalog ignored each listing and entry below the known revision until the restored store had given out as many as it had lost; the ignored listing still counted as read. Equal revisions of two histories confirmed a listing, also by If-None-Match between hosts, and heartbeats named a bare revision.

Change: listings and entries carry a store_position. The first listing of an era is taken for the copy: what it lacks, and what is newer at this host, stays for the grace period of an outage; that a process leaves counts at once; a process that was gone stays gone until it writes again. Listings of an earlier era are failed reads. One event per change of era.

--- a/marjorampath/deployment/endpoint_announcement.hpp
+++ b/marjorampath/deployment/endpoint_announcement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/store_position.hpp>
 
 #include <cstdint>
 #include <string>
@@ -26,8 +27,8 @@
     endpoint_id id;
     /// Name of the instance; sent with each request to it.
     std::string name;
-    /// Revision of the entry; increases with each write.
-    std::uint64_t revision = 0;
+    /// Position of the entry's last change.
+    store_position position;
     /// Start time of the endpoint's process, in wall-clock milliseconds. A restart under
     /// the same name changes it; the new process holds no state of the old one.
     std::uint64_t started_at_ms = 0;
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
+#include <marjorampath/core/store_position.hpp>
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/deployment/endpoint_announcement.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace marjorampath
@@ -38,8 +42,13 @@
 /// The known endpoints, built from listings of service discovery.
 ///
 /// Listings may arrive from several sources out of order. While an endpoint is
-/// listed, its entry never returns to an older revision, and it stays draining until its
+/// listed, its entry never returns to an older position, and it stays draining until its
 /// process restarts or its address, port or service changes.
+///
+/// The first listing of a new era shows the copy that the store was restored from, with
+/// entries that are older than the known ones. For the grace period such an entry only
+/// counts if it was written since then, and a missing one is kept. A process that was
+/// gone before stays gone until it writes again or a new one starts.
 class endpoint_catalog
 {
 public:
@@ -58,25 +67,25 @@
         /// until it counts. A live process writes again within its announcement interval
         /// of 1.2 s, so that a late entry of an earlier one is gone by then.
         duration earlier_start_delay = std::chrono::milliseconds(1'300);
-        /// How long a process that said it is leaving is remembered.
+        /// How long a process that said it is leaving, or that is gone, is remembered.
         duration leaving_memory = std::chrono::minutes(10);
     };
 
     /// Constructs an empty catalog.
     explicit endpoint_catalog(options values) : options_(values) {}
 
-    /// Applies a full listing of the given revision and returns the changes. A listing
+    /// Applies a full listing of the given position and returns the changes. A listing
     /// older than the last one is ignored. `listed_at` is when the listing was read from
     /// service discovery, by this host or by the one that relayed it, and
     /// `available_since` since when that host knows of no outage; empty for `listed_at`.
     std::vector<endpoint_event>
-    apply_listing(time_point listed_at, std::uint64_t revision,
+    apply_listing(time_point listed_at, store_position position,
                   std::vector<endpoint_announcement> listing,
                   std::optional<time_point> available_since = {});
 
-    /// Notes that the listing of the given revision was still the newest one at a time.
+    /// Notes that the listing of the given position was still the newest one at a time.
     /// Ignored if it is not the last one that was applied.
-    void confirm_listing(time_point listed_at, std::uint64_t revision,
+    void confirm_listing(time_point listed_at, store_position position,
                          time_point available_since);
 
     /// Notes that the process of an endpoint that started at `started_at_ms` said it is
@@ -95,10 +104,24 @@
         return endpoints_;
     }
 
-    /// Revision of the last listing.
-    [[nodiscard]] std::uint64_t revision() const noexcept
+    /// Position of the last listing.
+    [[nodiscard]] store_position position() const noexcept
+    {
+        return position_;
+    }
+
+    /// Whether the last listing is known to need another look although it does not
+    /// change: an entry or the lack of one counts only after some time.
+    [[nodiscard]] bool is_provisional() const noexcept
+    {
+        return provisional_;
+    }
+
+    /// Number of entries of the last listing that were older than the known ones, and of
+    /// known ones that it lacked.
+    [[nodiscard]] std::size_t kept() const noexcept
     {
-        return revision_;
+        return kept_;
     }
 
     /// Since when no outage of service discovery is known; empty before the first
@@ -108,7 +131,8 @@
         return available_since_;
     }
 
-    /// Number of outages of service discovery that were assumed so far.
+    /// Number of outages of service discovery that were assumed so far, restorations
+    /// included.
     [[nodiscard]] std::uint64_t outages() const noexcept
     {
         return outages_;
@@ -122,11 +146,13 @@
     }
 
 private:
-    // A process that said it is leaving
-    struct leaving_process
+    // A process that said it is leaving, or that is gone
+    struct ended_process
     {
         std::uint64_t started_at_ms = 0;
         time_point noted_at;
+        // Era in which it was gone
+        std::uint64_t era = 0;
     };
 
     // An entry whose process started earlier than the known one
@@ -136,22 +162,43 @@
         time_point listed_since;
     };
 
+    // Whether an entry is from the copy that the store was restored from, as far as is
+    // known: it was not written since the first listing of the era
+    [[nodiscard]] bool is_of_copy(endpoint_announcement const& entry) const;
+    // Whether an entry names a process that was gone before the store was restored
+    [[nodiscard]] bool was_gone(endpoint_announcement const& entry) const;
+    // Whether the known state of an endpoint is newer than an entry of the copy
+    [[nodiscard]] bool outdates(endpoint_announcement const& known,
+                                endpoint_announcement const& entry,
+                                time_point listed_at) const;
+    // Removes the endpoints that are not listed and appends the changes to `events`
+    void remove_missing(std::set<endpoint_id> const& listed, time_point listed_at,
+                        std::vector<endpoint_event>& events);
+    // Replaces what is known of an endpoint and appends the change to `events`
+    static void replace(endpoint_announcement& known, endpoint_announcement entry,
+                        std::vector<endpoint_event>& events);
     // Whether an entry with an earlier start has been listed for so long that it counts
     bool outlasts_known(endpoint_announcement const& entry, time_point listed_at);
     // Marks an entry as draining if its process said that it is leaving
     void apply_leaving(endpoint_announcement& entry) const;
     // Notes that service discovery was read, and whether it had been unavailable before
-    void note_reading(time_point listed_at, time_point available_since);
+    // or was restored from a copy
+    void note_reading(time_point listed_at, time_point available_since, bool restored);
     // Applies one entry of a listing and appends the change to `events`
     void apply_entry(endpoint_announcement entry, time_point listed_at,
                      std::vector<endpoint_event>& events);
 
     options options_;
     std::map<endpoint_id, endpoint_announcement> endpoints_;
-    std::map<endpoint_id, leaving_process> leaving_;
+    std::map<endpoint_id, ended_process> leaving_;
+    std::map<endpoint_id, ended_process> gone_;
     // Entries that are ignored for now
     std::map<endpoint_id, earlier_start> earlier_starts_;
-    std::uint64_t revision_ = 0;
+    store_position position_;
+    // Position of the first listing of the era
+    store_position era_start_;
+    bool provisional_ = false;
+    std::size_t kept_ = 0;
     std::uint64_t outages_ = 0;
     std::optional<time_point> listed_at_;
     std::optional<time_point> available_since_;
--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -59,8 +59,8 @@
     store_position operator_change;
     /// See `operator_position::kept_configuration`.
     std::uint64_t kept_configuration = 0;
-    /// Revision of its last endpoint listing.
-    std::uint64_t listing_revision = 0;
+    /// Position of its last endpoint listing.
+    store_position listing_position;
     /// Age of that listing.
     duration listing_age{0};
     /// Number of unfinished loads, ordered or pending, at engines whose leases it holds.
--- a/marjorampath/peer/relay_choice.cpp
+++ b/marjorampath/peer/relay_choice.cpp
@@ -27,9 +27,9 @@
 // younger is not worth a read
 bool is_newer_listing(peer_heartbeat const& heartbeat, relay_query const& own)
 {
-    if (heartbeat.listing_revision != own.listing_revision)
-        return heartbeat.listing_revision > own.listing_revision;
-    return own.listing_revision != 0 &&
+    if (heartbeat.listing_position != own.listing_position)
+        return heartbeat.listing_position > own.listing_position;
+    return own.listing_position != store_position{} &&
            effective_listing_age(heartbeat, own) + listing_age_tolerance <
                own.listing_age;
 }
--- a/marjorampath/peer/relay_choice.hpp
+++ b/marjorampath/peer/relay_choice.hpp
@@ -26,8 +26,8 @@
     store_position operator_change;
     /// The operator's version of the configuration that it has.
     std::uint64_t configuration_version = 0;
-    /// Revision of its endpoint listing.
-    std::uint64_t listing_revision = 0;
+    /// Position of its endpoint listing.
+    store_position listing_position;
     /// Age of that listing.
     duration listing_age{0};
     /// Age added to listings of hosts in other zones, for the higher latency.
@@ -48,7 +48,7 @@
 /// Chooses by rendezvous hashing, so that many hosts that need an update at once do not
 /// all read it from the same host. Candidates are the hosts with the operator's newest
 /// change, or with any newer one where all of those failed, and those with a newer
-/// listing, or a younger one of the same revision, whose age is close to the lowest; of
+/// listing, or a younger one of the same position, whose age is close to the lowest; of
 /// either only hosts of the same zone, if there are any.
 relay_choice choose_relays(peer_table const& peers, relay_query const& own,
                            time_point now);
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -131,6 +131,7 @@
   # Zero from builds that do not know eras of the store.
   operatorEra @21 :UInt64;
   keptConfiguration @22 :UInt64;
+  listingEra @23 :UInt64;
 }
 
 struct LoadRequest {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -280,7 +280,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 10, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 11, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1831,6 +1831,8 @@
 
   inline  ::uint64_t getKeptConfiguration() const;
 
+  inline  ::uint64_t getListingEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1965,6 +1967,9 @@
   inline  ::uint64_t getKeptConfiguration();
   inline void setKeptConfiguration( ::uint64_t value);
 
+  inline  ::uint64_t getListingEra();
+  inline void setListingEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4021,6 +4026,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerBeat::Reader::getListingEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerBeat::Builder::getListingEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void PeerBeat::Builder::setListingEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -22,6 +22,7 @@
 #include <serving/entry/entry_settings.hpp>
 #include <serving/entry/relay_text.hpp>
 #include <serving/node/signal_mask.hpp>
+#include <serving/remote/remote_error.hpp>
 #include <serving/telemetry/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -225,13 +226,14 @@
     boost::asio::awaitable<void> read_peer_listing();
     // Hosts with newer contents of the store, preferring those that have not failed
     relay_choice choose_relays_except(relay_failures& failures) const;
-    // Reads one path from a peer's relay address, unless it is the listing of a revision
+    // Reads one path from a peer's relay address, unless it is the listing of a position
     // that this host knows; empty if that fails
     boost::asio::awaitable<std::optional<relayed_contents>>
     fetch_from_peer(peer_address peer, std::string path,
-                    std::optional<std::uint64_t> known_listing, relay_failures& failures);
+                    std::optional<store_position> known_listing,
+                    relay_failures& failures);
     // Entity tag of a listing
-    static std::string listing_tag(std::uint64_t revision);
+    static std::string listing_tag(store_position position);
     // Time since this host's listing was read from the store
     [[nodiscard]] duration listing_age(time_point now) const;
     // Time until this host reads the listing from the store; zero for now
@@ -268,6 +270,8 @@
                                                   char const* name);
     // Logs the entries of a listing that name no endpoint and were not in the last one
     void log_ignored_entries(endpoint_listing const& listing);
+    // Logs that the store was restored from a copy if a listing showed so
+    void note_listing_history(store_position before, std::string_view source);
     // Applies a listing of the endpoints
     void apply_listing(endpoint_listing listing, std::string_view source);
     // Logs a change of an endpoint and tells all that depend on it
--- a/serving/entry/entry_node_fleet.inl
+++ b/serving/entry/entry_node_fleet.inl
@@ -68,7 +68,7 @@
     auto const operator_data = source_.operator_data();
     heartbeat.operator_change = operator_data.change;
     heartbeat.kept_configuration = operator_data.kept_configuration;
-    heartbeat.listing_revision = catalog_.revision();
+    heartbeat.listing_position = catalog_.position();
     heartbeat.listing_age =
         catalog_.listed_at() ? now - *catalog_.listed_at() : duration{0};
     heartbeat.loads_in_transit = planner_.loads_in_transit(now);
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -48,7 +48,7 @@
     }
     set_position(answer, operator_change_field, source_.operator_data().change);
     set_position(answer, operator_complete_field, source_.operator_complete());
-    if (message[http::field::if_none_match] == listing_tag(catalog_.revision()))
+    if (message[http::field::if_none_match] == listing_tag(catalog_.position()))
     {
         answer.result(http::status::not_modified);
         context_.metrics.count(relays_metric, "result", "unchanged");
@@ -99,9 +99,11 @@
 }
 
 template <entry_platform Platform>
-std::string entry_node<Platform>::listing_tag(std::uint64_t revision)
+std::string entry_node<Platform>::listing_tag(store_position position)
 {
-    return fmt::format("\"{}\"", revision);
+    if (position.era == 0)
+        return fmt::format("\"{}\"", position.revision);
+    return fmt::format("\"{}-{}\"", position.era, position.revision);
 }
 
 template <entry_platform Platform>
@@ -162,7 +164,7 @@
 template <entry_platform Platform>
 boost::asio::awaitable<std::optional<typename entry_node<Platform>::relayed_contents>>
 entry_node<Platform>::fetch_from_peer(peer_address peer, std::string path,
-                                      std::optional<std::uint64_t> known_listing,
+                                      std::optional<store_position> known_listing,
                                       relay_failures& failures)
 {
     namespace http = boost::beast::http;
@@ -219,13 +221,13 @@
     if (age > times_.fallback.max_listing_age)
     {
         if (old_listing_age_ == duration{0})
-            log_event(event::listing_aged, "revision", catalog_.revision(), "age_ms",
+            log_event(event::listing_aged, "revision", catalog_.position().revision, "age_ms",
                       age.count() / 1'000'000);
         old_listing_age_ = std::max(old_listing_age_, age);
     }
     else if (old_listing_age_ != duration{0})
     {
-        log_event(event::listing_renewed, "revision", catalog_.revision(), "age_ms",
+        log_event(event::listing_renewed, "revision", catalog_.position().revision, "age_ms",
                   std::exchange(old_listing_age_, duration{0}).count() / 1'000'000);
     }
 }
@@ -240,7 +242,7 @@
                           .operator_change = source_.operator_data().change,
                           .configuration_version =
                               context_.routes ? context_.routes->source().version : 0,
-                          .listing_revision = catalog_.revision(),
+                          .listing_position = catalog_.position(),
                           .listing_age = listing_age(now),
                           .other_zone_penalty = times_.other_zone_penalty,
                           .failed_relays = failures.recent(now)},
@@ -289,9 +291,12 @@
     if (!choice.listing || own_age <= times_.max_listing_age || reading_peer_listing_)
         co_return;
     reading_peer_listing_ = true;
-    auto const known = catalog_.revision();
-    auto relayed = co_await fetch_from_peer(
-        *choice.listing, std::string(listing_relay_path), known, failed_listing_relays_);
+    auto const known = catalog_.position();
+    auto const wanted_unless =
+        catalog_.is_provisional() ? std::nullopt : std::optional(known);
+    auto relayed =
+        co_await fetch_from_peer(*choice.listing, std::string(listing_relay_path),
+                                 wanted_unless, failed_listing_relays_);
     reading_peer_listing_ = false;
     if (!relayed)
         co_return;
@@ -310,7 +315,8 @@
         failed_listing_relays_.add(*choice.listing, boot_now());
         co_return;
     }
-    log_event(event::view_relayed, "revision", listing.revision, "age_ms",
+    log_event(event::view_relayed, "revision", listing.position.revision, "era",
+              listing.position.era, "age_ms",
               relayed->age.count() / 1'000'000, "own_age_ms",
               own_age.count() / 1'000'000);
     listing.listed_at = now - relayed->age;
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -27,6 +27,8 @@
         }
         auto listing = co_await source_.read_endpoints();
         listing.listed_at = requested_at;
+        if (!listing.error && listing.position.era < catalog_.position().era)
+            listing.error = remote_error::history_lost;
         if (finished_)
             break;
         update_store_state(listing.error);
@@ -66,9 +68,10 @@
 {
     if (error && store_reachable_)
         log_event(event::store_unreachable, "error", error.message(), "revision",
-                  catalog_.revision());
+                  catalog_.position().revision, "era", catalog_.position().era);
     if (!error && !store_reachable_)
-        log_event(event::store_reachable, "revision", catalog_.revision());
+        log_event(event::store_reachable, "revision", catalog_.position().revision, "era",
+                  catalog_.position().era);
     store_reachable_ = !error;
 }
 
@@ -179,22 +182,37 @@
                                          std::string_view source)
 {
     log_ignored_entries(listing);
-    if (listing.revision >= catalog_.revision())
+    auto const before = catalog_.position();
+    if (listing.position >= before)
         relayed_listing_ = relay_text(std::move(listing.relayed));
     auto const previous = catalog_.listed_at();
     auto const outages = catalog_.outages();
     auto const changes =
-        catalog_.apply_listing(listing.listed_at, listing.revision,
+        catalog_.apply_listing(listing.listed_at, listing.position,
                                std::move(listing.endpoints), listing.available_since);
     if (catalog_.outages() != outages)
-        log_event(event::missing_entries_kept, "revision", listing.revision, "source",
+        log_event(event::missing_entries_kept, "revision", listing.position.revision, "source",
                   source, "gap_ms", (listing.listed_at - *previous).count() / 1'000'000);
+    note_listing_history(before, source);
     for (auto const& change : changes)
         apply_endpoint_change(change, source);
     update_engines();
     on_listing_renewed();
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::note_listing_history(store_position before,
+                                                std::string_view source)
+{
+    auto const position = catalog_.position();
+    if (before == store_position{} || position.era == before.era)
+        return;
+    log_event(event::listing_history_changed, "old_era", before.era, "old_revision",
+              before.revision, "era", position.era, "revision", position.revision, "known",
+              catalog_.endpoints().size(), "kept", catalog_.kept(), "source", source);
+    context_.metrics.count(history_changes_metric, "view", "listing");
+}
+
 template <entry_platform Platform>
 void entry_node<Platform>::on_listing_renewed()
 {
@@ -208,7 +226,7 @@
     for (auto const& key : listing.ignored)
         if (!ignored_entries_.contains(key))
             log_event(event::store_entry_ignored, "key", key, "revision",
-                      listing.revision);
+                      listing.position.revision);
     ignored_entries_ = {listing.ignored.begin(), listing.ignored.end()};
 }
 
@@ -228,7 +246,7 @@
                                     : event::endpoint_lost)),
                   "endpoint", endpoint.name, "software", endpoint.software_version,
                   "address", endpoint.address, "port", endpoint.port, "revision",
-                  catalog_.revision(), "source", source);
+                  catalog_.position().revision, "source", source);
     if (change.change == endpoint_change::restarted ||
         (change.change == endpoint_change::gone && !endpoint.draining))
         on_endpoint_crash(change);
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -28,8 +28,8 @@
 {
     /// Set if the read failed.
     std::error_code error;
-    /// Revision of the store that the listing reflects.
-    std::uint64_t revision = 0;
+    /// Position of the store that the listing reflects.
+    store_position position;
     /// When it was read from the store, by this host or by the one that relayed it.
     time_point listed_at;
     /// Since when the host that relayed it knows of no outage of the store; empty if this
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -238,7 +238,8 @@
     wire.setOperatorRevision(value.operator_change.revision);
     wire.setOperatorEra(value.operator_change.era);
     wire.setKeptConfiguration(value.kept_configuration);
-    wire.setListingRevision(value.listing_revision);
+    wire.setListingRevision(value.listing_position.revision);
+    wire.setListingEra(value.listing_position.era);
     wire.setListingAge(encode_duration(value.listing_age));
     wire.setTransit(value.loads_in_transit);
     encode_list(value.mentions, wire.initMentions(wire_size(value.mentions)));
@@ -268,7 +269,8 @@
     value.operator_change = {.era = wire.getOperatorEra(),
                              .revision = wire.getOperatorRevision()};
     value.kept_configuration = wire.getKeptConfiguration();
-    value.listing_revision = wire.getListingRevision();
+    value.listing_position = {.era = wire.getListingEra(),
+                              .revision = wire.getListingRevision()};
     value.listing_age = decode_duration(wire.getListingAge());
     value.loads_in_transit = wire.getTransit();
     decode_list(wire.getMentions(), value.mentions);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -106,6 +106,10 @@
                 "again from its beginning. `kept` items are newer than those of the copy "
                 "and stay in force until the operator has written them again; `config` "
                 "is the configuration in force before."},
+    event_entry{listing_history_changed, warning, "listing_history_changed",
+                "The store was restored from a copy. Of `known` endpoints, `kept` are "
+                "missing in it, or listed with an older entry, and stay as they were "
+                "until they have written again; endpoints that were gone stay gone."},
 
     event_entry{link_opened, info, "link_opened", "A connection to a host was opened."},
     event_entry{link_lost, warning, "link_lost",
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -51,6 +51,7 @@
     listing_aged = 221,
     listing_renewed = 222,
     operator_history_changed = 223,
+    listing_history_changed = 224,
 
     link_opened = 300,
     link_lost = 301,
--- a/tests/process/store_restore_test.cpp
+++ b/tests/process/store_restore_test.cpp
@@ -81,4 +81,24 @@
     BOOST_TEST(eventually([this] { return in_force(3); }));
 }
 
+// Listings were ignored until the store had given out as many revisions as it had lost,
+// and an endpoint that had reported that it leaves got requests
+BOOST_AUTO_TEST_CASE(an_endpoint_that_leaves_after_the_restoration_gets_no_requests)
+{
+    lose_changes();
+    // An entry that names no endpoint shows that the node has the listing
+    call_store("/standin/put?key=servers/odd", "lost");
+    BOOST_REQUIRE(eventually([this] { return entry.has_logged("servers/odd"); }));
+    call_store("/standin/restore");
+    call(entry.endpoint(), "POST", "/standin/set", "{\"draining\": true}");
+    BOOST_TEST(eventually([this] { return entry.has_logged("endpoint_leaving"); }, 5s));
+
+    platform::standin_deployment const deployment;
+    auto const answer = call(
+        entry.node().address(), "POST", deployment.unsafe + "x", {},
+        {{"Host", deployment.host}, {"X-Attempt-Id", "late"}, {"X-Deadline-Ms", "1000"}});
+    BOOST_TEST(answer.status == 503U);
+    BOOST_TEST(!entry.has_run("late"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/peer/heartbeat_router_test.cpp
+++ b/tests/unit/peer/heartbeat_router_test.cpp
@@ -163,15 +163,15 @@
     time_point const now(1'000s);
     peer_heartbeat heartbeat{.host = host_id::of("b"),
                              .incarnation = 7,
-                             .listing_revision = 20,
+                             .listing_position = {.revision = 20},
                              .passes_on = true,
                              .sequence = 5};
     table.on_heartbeat(heartbeat, now);
     heartbeat.sequence = 4;
-    heartbeat.listing_revision = 10;
+    heartbeat.listing_position = {.revision = 10};
     BOOST_TEST((table.on_heartbeat(heartbeat, now - 1s) == peer_change::ignored));
     auto const& known = table.peers().at(host_id::of("b"));
-    BOOST_TEST(known.last_heartbeat.listing_revision == 20U);
+    BOOST_TEST(known.last_heartbeat.listing_position.revision == 20U);
     BOOST_TEST((known.last_heartbeat_at == now));
 
     // The numbers of a new process begin anew
--- a/tests/unit/peer/listing_fleet.hpp
+++ b/tests/unit/peer/listing_fleet.hpp
@@ -42,7 +42,7 @@
         heartbeats_.fill_heartbeat = [this](std::uint32_t index, peer_heartbeat& to)
         {
             to.operator_change = {.revision = hosts_[index].operator_revision};
-            to.listing_revision = hosts_[index].catalog.revision();
+            to.listing_position = hosts_[index].catalog.position();
             to.listing_age = age(index);
         };
     }
@@ -189,7 +189,7 @@
         auto const fails = store_fails_(index);
         host.fallback.on_listing_read(!fails, age(index), now());
         if (!fails)
-            host.catalog.apply_listing(now(), revision(), {});
+            host.catalog.apply_listing(now(), {.revision = revision()}, {});
     }
 
     void read_operator(std::uint32_t index)
@@ -208,7 +208,7 @@
                              {.host = heartbeat_fleet::host_of(index),
                               .zone = heartbeats_.zone(index),
                               .operator_change = {.revision = host.operator_revision},
-                              .listing_revision = host.catalog.revision(),
+                              .listing_position = host.catalog.position(),
                               .listing_age = age(index),
                               .other_zone_penalty = other_zone_penalty,
                               .failed_relays = failures.recent(now())},
@@ -263,11 +263,11 @@
     {
         if (!source.listed_at())
             return;
-        if (source.revision() == host.catalog.revision())
-            host.catalog.confirm_listing(*source.listed_at(), source.revision(),
+        if (source.position() == host.catalog.position())
+            host.catalog.confirm_listing(*source.listed_at(), source.position(),
                                          *source.available_since());
         else
-            host.catalog.apply_listing(*source.listed_at(), source.revision(), {},
+            host.catalog.apply_listing(*source.listed_at(), source.position(), {},
                                        source.available_since());
     }
 
--- a/tests/unit/peer/relay_age_test.cpp
+++ b/tests/unit/peer/relay_age_test.cpp
@@ -71,7 +71,7 @@
     // An endpoint that all hosts know
     static endpoint_announcement endpoint()
     {
-        return {.id = endpoint_id::of("endpoint"), .revision = 1};
+        return {.id = endpoint_id::of("endpoint"), .position = {.revision = 1}};
     }
 
     // Stops the changes of the store, until the endpoint leaves
@@ -104,7 +104,8 @@
                 send_heartbeat(index);
             if (due(index * 37ms, listing_interval, step) &&
                 hosts_[index].table.is_reader(now))
-                hosts_[index].catalog.apply_listing(now, revision(), listing(revision()));
+                hosts_[index].catalog.apply_listing(now, {.revision = revision()},
+                                                    listing(revision()));
             if (due(index * 71ms, relay_interval, step))
                 read_from_peer(index);
         }
@@ -116,8 +117,9 @@
         duration largest{0};
         for (auto const& host : hosts_)
         {
-            auto const read_at = time_point(
-                static_cast<std::int64_t>(host.catalog.revision()) * revision_interval);
+            auto const read_at =
+                time_point(static_cast<std::int64_t>(host.catalog.position().revision) *
+                           revision_interval);
             largest = std::max(largest, now_ - read_at);
         }
         return largest;
@@ -158,7 +160,7 @@
                                        .incarnation = 1,
                                        .address = address_of(index),
                                        .operator_change = {.revision = 1},
-                                       .listing_revision = sender.catalog.revision(),
+                                       .listing_position = sender.catalog.position(),
                                        .listing_age = age(sender)};
         for (auto& host : hosts_)
             host.table.on_heartbeat(heartbeat, now_);
@@ -171,7 +173,7 @@
                                           {.host = host_of(index),
                                            .zone = zone_of(index),
                                            .operator_change = {.revision = 1},
-                                           .listing_revision = host.catalog.revision(),
+                                           .listing_position = host.catalog.position(),
                                            .listing_age = age(host),
                                            .other_zone_penalty = other_zone_penalty},
                                           now_);
@@ -179,12 +181,12 @@
             return;
         auto const& relay = hosts_[choice.listing->address];
         auto const& source = relay.catalog;
-        if (source.revision() == host.catalog.revision())
-            host.catalog.confirm_listing(*source.listed_at(), source.revision(),
+        if (source.position() == host.catalog.position())
+            host.catalog.confirm_listing(*source.listed_at(), source.position(),
                                          *source.available_since());
         else
-            host.catalog.apply_listing(*source.listed_at(), source.revision(),
-                                       listing(source.revision()),
+            host.catalog.apply_listing(*source.listed_at(), source.position(),
+                                       listing(source.position().revision),
                                        source.available_since());
     }
 
--- a/tests/unit/peer/relay_choice_test.cpp
+++ b/tests/unit/peer/relay_choice_test.cpp
@@ -41,7 +41,7 @@
              .incarnation = 1,
              .address = address_of(index),
              .operator_change = {.revision = reader ? 20U : 10U},
-             .listing_revision = reader ? 200U : 100U,
+             .listing_position = {.revision = reader ? 200U : 100U},
              .listing_age = reader ? duration(index * 20ms) : duration(2s)},
             now);
     }
@@ -63,7 +63,7 @@
                                           {.host = host_of(self),
                                            .zone = zone_id::of("z"),
                                            .operator_change = {.revision = 10},
-                                           .listing_revision = 100},
+                                           .listing_position = {.revision = 100}},
                                           now);
         BOOST_REQUIRE(choice.operator_update);
         BOOST_REQUIRE(choice.listing);
@@ -86,7 +86,7 @@
     relay_query const own{.host = host_of(50),
                           .zone = zone_id::of("z"),
                           .operator_change = {.revision = 20},
-                          .listing_revision = 200};
+                          .listing_position = {.revision = 200}};
     auto const known = choose_relays(table, own, now);
     BOOST_TEST(!known.operator_update);
     BOOST_TEST(!known.listing);
@@ -104,7 +104,7 @@
     relay_query query{.host = host_of(50),
                       .zone = zone_id::of("z"),
                       .operator_change = {.revision = 10},
-                      .listing_revision = 100};
+                      .listing_position = {.revision = 100}};
     auto const first = choose_relays(table, query, now);
     BOOST_REQUIRE(first.listing);
     query.failed_relays = {*first.listing};
@@ -118,7 +118,7 @@
                          .zone = zone_id::of("z"),
                          .incarnation = 1,
                          .address = address_of(1),
-                         .listing_revision = 200},
+                         .listing_position = {.revision = 200}},
                         now);
     query.failed_relays = {address_of(1)};
     BOOST_TEST((choose_relays(single, query, now).listing == address_of(1)));
@@ -157,7 +157,9 @@
     relay_query query{.host = host_of(50),
                       .zone = zone_id::of("z"),
                       .operator_change = {.era = 1, .revision = 3}};
+    query.listing_position = {.era = 1, .revision = 3};
     BOOST_TEST(!choose_relays(table, query, now).operator_update);
+    BOOST_TEST(!choose_relays(table, query, now).listing);
     query.operator_change = {.revision = 10};
     BOOST_TEST(choose_relays(table, query, now).operator_update.has_value());
 }
@@ -190,7 +192,7 @@
     relay_query query{.host = host_of(50),
                       .zone = zone_id::of("z"),
                       .operator_change = {.revision = 20},
-                      .listing_revision = 200,
+                      .listing_position = {.revision = 200},
                       .listing_age = 1'600ms};
     BOOST_TEST(choose_relays(table, query, now).listing.has_value());
     query.listing_age = 700ms;
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -185,11 +185,11 @@
     BOOST_TEST(listing.relayed.size() < 1'000U);
     auto const relayed = platform::store_client::read_relayed_endpoints(listing.relayed);
     BOOST_TEST(!relayed.error);
-    BOOST_TEST(relayed.revision == listing.revision);
+    BOOST_TEST((relayed.position == listing.position));
     BOOST_REQUIRE(relayed.endpoints.size() == 2U);
     BOOST_TEST(relayed.endpoints[0].name == "i-1");
     BOOST_TEST(relayed.endpoints[1].name == "i-3");
-    BOOST_TEST(relayed.endpoints[1].revision == listing.endpoints[1].revision);
+    BOOST_TEST((relayed.endpoints[1].position == listing.endpoints[1].position));
 }
 
 // The revision of such a watch may exist again, and then its answer lacks the changes
