Bound the bytes that readers keep before they are parsed

One caller took a host from 9 MB to 2.6 GB in 5 s, and other callers got 503; an endpoint's was kept until the attempt timed out, with a processor busy all the time, and the endpoint got the next requests.

Cause: the parser limits the head and the data of the body. What stands between chunks and behind them is neither; it asks for more, and answer_reader, caller_session, http_reader and http_fetch kept all that it did not consume.

Change: a bound in each reader (limit_unparsed, max_chunk_line_bytes). A caller gets 400 and the end of its connection; an attempt at an endpoint ends as oversized, an unsafe request's outcome is unknown, and the endpoint is ejected. One log line names the request and the limit. answer_reader parses in place.

--- a/marjorampath/dispatch/attempt_end.hpp
+++ b/marjorampath/dispatch/attempt_end.hpp
@@ -29,7 +29,9 @@
     /// No answer came in time; this host ended the attempt.
     timed_out,
     /// The caller disconnected or its deadline passed.
-    cancelled
+    cancelled,
+    /// The head of the answer, or a line between its chunks, exceeded the limit.
+    oversized_answer
 };
 
 /// Returns the name used in logs.
--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -323,6 +323,10 @@
         update_rate(view.failure_rate, true);
         view.breaker.fail(options_.ejection_threshold, limits, now, random_);
         break;
+    case attempt_end::oversized_answer:
+        update_rate(view.failure_rate, true);
+        view.breaker.fail(1, limits, now, random_);
+        break;
     case attempt_end::cancelled:
         view.breaker.inconclusive();
         break;
--- a/serving/caller/caller_session.cpp
+++ b/serving/caller/caller_session.cpp
@@ -1,5 +1,7 @@
 #include <serving/caller/caller_session.hpp>
 #include <serving/clock/boot_time.hpp>
+#include <serving/remote/receive_buffer.hpp>
+#include <serving/telemetry/log.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +29,8 @@
 
 // How long the remaining bytes of a rejected request are read and discarded
 constexpr auto discard_timeout = std::chrono::seconds(1);
+// Bytes of a request's body that are read at once
+constexpr std::size_t read_ahead_bytes = 4'096;
 // Interim answer upon which a caller that sent `Expect: 100-continue` sends the body
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -111,6 +115,7 @@
     parser_type parser;
     parser.header_limit(context_->limits.max_head_bytes);
     parser.body_limit(context_->limits.max_body_bytes);
+    limit_unparsed(buffer_, context_->limits.max_head_bytes, read_ahead_bytes);
     auto const error = co_await receive(parser);
     expires_at_ = never;
     if (error)
@@ -157,6 +162,9 @@
 
     keep_alive_ = false;
     auto const message = error.message();
+    if (is_limit_error(error))
+        log_event(event::request_limit_exceeded, "request", request_name_, "limit",
+                  message);
     auto const kind = kind_of_read_error(error);
     auto reply = make_error_reply({.kind = kind, .message = {}});
     if (kind == error_kind::malformed_request)
--- a/serving/endpoint/answer_reader.cpp
+++ b/serving/endpoint/answer_reader.cpp
@@ -26,23 +26,27 @@
     parser_.eager(true);
 }
 
-error_code answer_reader::parse(char const* bytes, std::size_t size, std::string& output)
+error_code answer_reader::parse(std::string& output)
 {
     parser_.get().body().output = &output;
     error_code error;
     std::size_t parsed = 0;
-    while (parsed < size && !parser_.is_done())
+    while (parsed < unparsed_.size() && !parser_.is_done())
     {
-        auto const consumed =
-            parser_.put(asio::buffer(bytes + parsed, size - parsed), error);
+        auto const consumed = parser_.put(
+            asio::buffer(unparsed_.data() + parsed, unparsed_.size() - parsed), error);
         parsed += consumed;
         if (error || consumed == 0)
             break;
     }
     if (error == http::error::need_more)
         error = {};
-    std::string rest(bytes + parsed, size - parsed);
-    unparsed_ = std::move(rest);
+    unparsed_.erase(0, parsed);
+
+    // The parser itself limits the head
+    auto const is_between_chunks = parser_.is_header_done() && !parser_.is_done();
+    if (!error && is_between_chunks && unparsed_.size() > max_chunk_line_bytes)
+        error = http::error::buffer_overflow;
     return error;
 }
 
@@ -60,21 +64,15 @@
     if (error)
         co_return error;
 
-    if (unparsed_.empty())
-        co_return parse(buffer_.data(), size, output);
-    auto unparsed_and_new = std::move(unparsed_);
-    unparsed_and_new.append(buffer_.data(), size);
-    co_return parse(unparsed_and_new.data(), unparsed_and_new.size(), output);
+    unparsed_.append(buffer_.data(), size);
+    co_return parse(output);
 }
 
 asio::awaitable<error_code> answer_reader::read_head()
 {
     error_code error;
     if (!unparsed_.empty())
-    {
-        auto const initial_bytes = std::move(unparsed_);
-        error = parse(initial_bytes.data(), initial_bytes.size(), buffered_body_);
-    }
+        error = parse(buffered_body_);
     while (!error && !parser_.is_header_done())
         error = co_await read_and_parse(buffered_body_);
     co_return error;
--- a/serving/endpoint/answer_reader.hpp
+++ b/serving/endpoint/answer_reader.hpp
@@ -23,7 +23,12 @@
 /// Size of the read buffer, in bytes.
 inline constexpr std::size_t answer_read_bytes = 4'096;
 
-/// Reads one HTTP answer of an endpoint piece by piece, with bounded memory use.
+/// Maximum size of a line between two chunks of an answer, and of its trailer, in bytes.
+inline constexpr std::size_t max_chunk_line_bytes = 16'384;
+
+/// Reads one HTTP answer of an endpoint piece by piece, with bounded memory use. Fails
+/// with `header_limit` or `buffer_overflow` if its head, or what stands between chunks,
+/// exceeds its limit.
 class answer_reader
 {
 public:
@@ -109,9 +114,8 @@
     // Reads from the connection and parses; appends bytes of the body to `output`
     boost::asio::awaitable<boost::system::error_code> read_and_parse(std::string& output);
 
-    // Parses bytes; those that the parser cannot consume yet are stored in unparsed_
-    boost::system::error_code parse(char const* bytes, std::size_t size,
-                                    std::string& output);
+    // Parses unparsed_ and removes the bytes that the parser consumed
+    boost::system::error_code parse(std::string& output);
 
     endpoint_connection connection_;
     boost::beast::http::response_parser<append_body> parser_;
--- a/serving/endpoint/http_fetch.cpp
+++ b/serving/endpoint/http_fetch.cpp
@@ -1,6 +1,7 @@
 #include <serving/endpoint/http_fetch.hpp>
 #include <serving/host_list/host_entry.hpp>
 #include <serving/remote/read_message.hpp>
+#include <serving/remote/receive_buffer.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -10,6 +11,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cstdint>
 #include <utility>
 
 namespace marjorampath::serving
@@ -22,6 +24,9 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// Maximum size of a response head
+constexpr std::uint32_t max_head_bytes = 8'192;
+
 } // namespace
 
 asio::awaitable<http_fetch_result> http_fetch(asio::ip::tcp::endpoint address,
@@ -48,7 +53,9 @@
         co_return result;
 
     beast::flat_buffer buffer;
+    limit_unparsed(buffer, max_head_bytes, large_read_ahead_bytes);
     http::response_parser<http::string_body> parser;
+    parser.header_limit(max_head_bytes);
     parser.body_limit(options.max_body_bytes);
     result.received =
         co_await read_message(stream, buffer, parser, options.progress_timeout, error);
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -10,6 +10,7 @@
 #include <serving/entry/entry_context.hpp>
 #include <serving/entry/entry_dialect.hpp>
 #include <serving/entry/entry_request.hpp>
+#include <serving/remote/receive_buffer.hpp>
 #include <serving/telemetry/log.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -172,6 +173,10 @@
                          answer_reader::head const& head);
     // Reads and ignores a body, for a short time; false if it does not end
     boost::asio::awaitable<bool> skip_body(answer_reader& reader);
+    // How an attempt ends whose answer broke off with an error, `otherwise` unless a part
+    // of the answer exceeded its limit
+    [[nodiscard]] attempt_end end_of_broken(error_code error,
+                                            attempt_end otherwise) const;
     // Reads the body after a head and delivers the answer, or holds a failure
     boost::asio::awaitable<attempt_end> process_answer(answer_reader& reader,
                                                        bool success);
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -406,12 +406,14 @@
     case attempt_end::failed:
     case attempt_end::lost:
     case attempt_end::invalid_answer:
+    case attempt_end::oversized_answer:
     case attempt_end::timed_out:
         ++possible_runs_;
         excluded_endpoints_.push_back(endpoint.id);
         events_.restart();
         if (!may_run_again())
-            co_await conclude_failed(end == attempt_end::invalid_answer
+            co_await conclude_failed(end == attempt_end::invalid_answer ||
+                                             end == attempt_end::oversized_answer
                                          ? error_kind::endpoint_protocol
                                          : error_kind::endpoint_lost,
                                      {});
--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -17,8 +17,8 @@
         if (endpoint_answered_)
             context_->reach.on_answer(request_.dispatch_call.service);
         if (broken)
-            co_return end_after_failure(reader.got_some() ? attempt_end::invalid_answer
-                                                          : attempt_end::lost);
+            co_return end_of_broken(broken, reader.got_some() ? attempt_end::invalid_answer
+                                                              : attempt_end::lost);
 
         auto const verdict = Dialect::classify_answer(
             reader.get_head(), request_.caller_attempt_id, endpoint.name,
@@ -60,6 +60,21 @@
     co_return attempt_end::invalid_answer;
 }
 
+template <entry_dialect Dialect>
+attempt_end entry_exchange<Dialect>::end_of_broken(error_code error,
+                                                   attempt_end otherwise) const
+{
+    if (!is_limit_error(error))
+        return end_after_failure(otherwise);
+    log_event(event::answer_limit_exceeded, "request", request_.caller_attempt_id,
+              "limit", error.message());
+
+    // Only the size of a body is up to the request
+    return end_after_failure(error == boost::beast::http::error::body_limit
+                                 ? otherwise
+                                 : attempt_end::oversized_answer);
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<bool> entry_exchange<Dialect>::skip_body(answer_reader& reader)
 {
@@ -89,8 +104,8 @@
     context_->dispatch.on_first_event(request_.dispatch_call, current_endpoint_);
     context_->metrics.shard.latency(first_byte_metric)
         .record(std::chrono::duration<double>(boot_now() - begin_).count());
-    if (co_await reader.read_rest(answer.body, max_held_bytes))
-        co_return end_after_failure(attempt_end::lost);
+    if (auto const broken = co_await reader.read_rest(answer.body, max_held_bytes))
+        co_return end_of_broken(broken, attempt_end::lost);
     if (aborted())
         co_return attempt_end::cancelled;
     if (!success)
@@ -126,7 +141,7 @@
         events.clear();
     }
     if (error)
-        co_return end_after_failure(attempt_end::lost);
+        co_return end_of_broken(error, attempt_end::lost);
     if (events_.in_event() || !head_sent_)
         co_return attempt_end::invalid_answer;
     if (co_await session_->finish_body())
--- a/serving/remote/http_reader.cpp
+++ b/serving/remote/http_reader.cpp
@@ -1,6 +1,7 @@
 #include <serving/host_list/host_entry.hpp>
 #include <serving/remote/http_reader.hpp>
 #include <serving/remote/read_message.hpp>
+#include <serving/remote/receive_buffer.hpp>
 #include <serving/remote/remote_error.hpp>
 
 #include <boost/asio/redirect_error.hpp>
@@ -99,6 +100,7 @@
     http::response_parser<http::string_body> parser;
     parser.header_limit(max_head_bytes);
     parser.body_limit(options_.max_body_bytes);
+    limit_unparsed(buffer_, max_head_bytes, large_read_ahead_bytes);
     if (!error)
         result.received =
             co_await read_message(stream_, buffer_, parser, options_.timeout, error);
--- a/serving/replay/http_exchange.cpp
+++ b/serving/replay/http_exchange.cpp
@@ -1,4 +1,5 @@
 #include <serving/clock/boot_time.hpp>
+#include <serving/remote/receive_buffer.hpp>
 #include <serving/replay/http_exchange.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -7,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -22,6 +24,8 @@
 namespace json = boost::json;
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+// Maximum size of an answer's head
+constexpr std::uint32_t max_head_bytes = 8'192;
 
 double milliseconds_since(time_point start)
 {
@@ -125,7 +129,9 @@
 
     // Read the head; its arrival counts as the first byte
     beast::flat_buffer buffer;
+    limit_unparsed(buffer, max_head_bytes, large_read_ahead_bytes);
     http::response_parser<http::string_body> parser;
+    parser.header_limit(max_head_bytes);
     parser.body_limit(max_exchange_bytes);
     auto const [head_error, head_bytes] =
         co_await http::async_read_header(stream, buffer, parser, as_result);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -237,6 +237,13 @@
     event_entry{request_forwarded, info, "request_forwarded",
                 "This host reaches no endpoint of the service, and another host, `peer`, "
                 "was to serve the request; its log has the same id. `end` says how."},
+    event_entry{request_limit_exceeded, warning, "request_limit_exceeded",
+                "A caller's request was rejected because a part of it exceeds its limit: "
+                "the head, the body, or a line between chunks or the trailer "
+                "(`limit=buffer overflow`)."},
+    event_entry{answer_limit_exceeded, warning, "answer_limit_exceeded",
+                "An endpoint's answer was given up because a part of it exceeds its "
+                "limit, as for requests; `attempt_ended` names the endpoint."},
     event_entry{request_suspected, warning, "request_suspected",
                 "A request was in flight when its endpoint crashed; it is rerun in "
                 "isolation."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -104,6 +104,8 @@
     request_rejected = 606,
     stream_resumed = 607,
     request_forwarded = 608,
+    request_limit_exceeded = 609,
+    answer_limit_exceeded = 610,
     request_suspected = 620,
     request_convicted = 621,
     conviction_expired = 622,
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -136,6 +136,16 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::size_t child_process::peak_memory_kb() const
+{
+    std::ifstream file(fmt::format("/proc/{}/status", pid_));
+    std::size_t peak = 0;
+    for (std::string word; file >> word;)
+        if (word == "VmHWM:")
+            file >> peak;
+    return peak;
+}
+
 bool child_process::handles_or_blocks(int number) const
 {
     std::ifstream file(fmt::format("/proc/{}/status", pid_));
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -64,6 +64,9 @@
     /// action does not apply.
     [[nodiscard]] bool handles_or_blocks(int number) const;
 
+    /// Highest resident memory of the process so far, in kilobytes.
+    [[nodiscard]] std::size_t peak_memory_kb() const;
+
     /// Exit status that the process must end with: 0, or -1 after a SIGKILL from here.
     [[nodiscard]] int expected_status() const noexcept
     {
--- a/tests/unit/entry/entry_answer_test.cpp
+++ b/tests/unit/entry/entry_answer_test.cpp
@@ -134,6 +134,24 @@
     }
 }
 
+// Such an answer was kept until the attempt timed out, with a processor busy all the
+// time, and its endpoint got the next requests
+BOOST_AUTO_TEST_CASE(an_answer_with_an_endless_line_between_chunks_ends_at_once)
+{
+    for (auto const* part : {"1;", "0\r\nX: "})
+    {
+        auto const text = stream_head() + part + std::string(40'000, 'a');
+        entry_fixture entry({{.text = text, .closes = false}}, {{sealed("second")}});
+        auto const answer = entry.send_request(http::verb::post, "/unsafe/x");
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"), part);
+        BOOST_TEST(contains(answer, "unknown"), part);
+        entry.done = false;
+        auto const next = entry.send_request(http::verb::post, "/unsafe/x");
+        BOOST_TEST(next.ends_with("second"), next);
+        BOOST_TEST(entry.servers[0]->requests.size() == 1U, part);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(events_before_invalid_bytes_are_not_missing)
 {
     std::string const endless(300'000, 'x');
