--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -94,4 +94,13 @@
                      "--nodes 16 --callers 1");
 }
 
+// Nodes ignored what was written to a restored store: configurations, and endpoints that
+// left
+BOOST_AUTO_TEST_CASE(a_store_that_returns_from_a_copy_keeps_all_promises)
+{
+    constexpr unsigned seed = 8001;
+    check_soak(seed, "--seconds 8 --limits 0 --gap 4000 --cuts 0 --crashing-callers 0 "
+                     "--large-changes 0 --restores 2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -74,6 +74,9 @@
     TCLAP::ValueArg<int> large_changes(
         "", "large-changes", "Changes of the configuration that add many routes", false,
         1, "number", command);
+    TCLAP::ValueArg<int> restores("", "restores",
+                                  "Restorations of the store from an older copy", false,
+                                  0, "number", command);
     TCLAP::ValueArg<std::size_t> added_routes("", "added-routes",
                                               "Routes that a large change adds", false,
                                               1'400, "number", command);
@@ -97,7 +100,8 @@
                          .mean_gap = std::chrono::milliseconds(gap.getValue()),
                          .limits = limits.getValue(),
                          .cuts = cuts.getValue(),
-                         .large_changes = large_changes.getValue()},
+                         .large_changes = large_changes.getValue(),
+                         .restores = restores.getValue()},
             .fleet = {.nodes = nodes.getValue(),
                       .engines = engines.getValue(),
                       .link_rate = link_rate.getValue()},
--- a/tests/soak/soak_fault.cpp
+++ b/tests/soak/soak_fault.cpp
@@ -16,7 +16,7 @@
 // Largest target number; above any count, since targets are taken modulo their count
 constexpr std::size_t max_target = 5'040;
 
-constexpr std::array<std::string_view, 20> names{
+constexpr std::array<std::string_view, 21> names{
     "link_delay",         "link_reset",
     "link_silence",       "link_cut_to_target",
     "link_cut_to_caller", "endpoint_pause",
@@ -26,7 +26,8 @@
     "store_pause",        "configuration_change",
     "version_change",     "endpoint_limit",
     "node_cut_hang",      "node_cut_reset",
-    "node_cut_refuse",    "large_change"};
+    "node_cut_refuse",    "large_change",
+    "store_restore"};
 
 // Kinds that are drawn at random times, the first ones of `names`
 constexpr int drawn_kinds = 15;
@@ -90,6 +91,18 @@
                             .target = static_cast<std::size_t>(draw(0, max_target))});
         change_at += large_change_duration;
     }
+    std::chrono::milliseconds restore_at(0);
+    for (int restore = 0; restore < options.restores; ++restore)
+    {
+        auto const max_age_ms = static_cast<int>(max_copy_age.count());
+        restore_at += std::chrono::milliseconds(draw(0, last_limit_ms));
+        schedule.push_back(
+            {.kind = fault_kind::store_restore,
+             .at = restore_at,
+             .duration = std::chrono::milliseconds(draw(min_fault_ms, max_age_ms)),
+             .target = static_cast<std::size_t>(draw(0, max_target))});
+        restore_at += restore_duration;
+    }
     return schedule;
 }
 
--- a/tests/soak/soak_fault.hpp
+++ b/tests/soak/soak_fault.hpp
@@ -54,7 +54,10 @@
     node_cut_refuse,
     /// The operator publishes a configuration with many more routes, and another one soon
     /// after it; the store answers slowly and an endpoint leaves meanwhile.
-    large_change
+    large_change,
+    /// The store is away for a moment and is restored from an older copy; the operator
+    /// writes again what was lost, later a new configuration, and an endpoint leaves.
+    store_restore
 };
 
 /// Name of a fault kind.
@@ -87,6 +90,13 @@
 /// again.
 inline constexpr std::chrono::milliseconds large_change_duration{6'000};
 
+/// Longest age of the copy that the store is restored from.
+inline constexpr std::chrono::milliseconds max_copy_age{8'000};
+
+/// Duration of a restoration: the longest age, the time without faults for which bounds
+/// hold, and the time within which a configuration must be in force.
+inline constexpr std::chrono::milliseconds restore_duration{16'000};
+
 /// Parameters of a random schedule.
 struct schedule_options
 {
@@ -102,13 +112,16 @@
     int cuts = 1;
     /// Number of large changes of the configuration.
     int large_changes = 1;
+    /// Number of restorations of the store from a copy.
+    int restores = 0;
     /// Longest duration of a fault.
     std::chrono::milliseconds max_duration{3'000};
 };
 
 /// Returns a random schedule; faults may overlap. The last ones are limits, each of which
-/// lasts for `limit_duration`, cuts of nodes, which last for `cut_duration`, and large
-/// changes of the configuration.
+/// lasts for `limit_duration`, cuts of nodes, which last for `cut_duration`, large
+/// changes of the configuration, and restorations of the store, whose duration is the age
+/// of the copy.
 std::vector<soak_fault> generate_schedule(schedule_options const& options);
 
 } // namespace marjorampath::test
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -247,6 +247,29 @@
         throw std::runtime_error("the store did not accept a delay");
 }
 
+void soak_fleet::copy_store() const
+{
+    if (call(store->address(), "PUT", "/standin/copy").status != 200)
+        throw std::runtime_error("the store did not take a copy");
+}
+
+void soak_fleet::restore_store() const
+{
+    if (call(store->address(), "PUT", "/standin/restore").status != 200)
+        throw std::runtime_error("the store did not return to its copy");
+}
+
+void soak_fleet::rewrite_operator_data() const
+{
+    put(std::string(platform::configuration_key),
+        platform::configuration_document(
+            {.version = configuration_, .added_routes = added_routes_}));
+    platform::standin_deployment const deployment;
+    for (auto const& [adapter, version] : versions_)
+        put(platform::version_key(deployment.model_service, adapter),
+            platform::version_document(deployment.model_service, adapter, version));
+}
+
 bool soak_fleet::is_ready(std::size_t index) const
 {
     return call(nodes[index].readiness, "GET", readiness_path).status == 200;
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -95,6 +95,13 @@
     /// Makes the store hold each answer to a read back for a time.
     void delay_store(std::chrono::milliseconds delay) const;
 
+    /// Takes a copy of the store, and returns the store to it.
+    void copy_store() const;
+    void restore_store() const;
+
+    /// Writes again what the operator wrote last.
+    void rewrite_operator_data() const;
+
     /// Name in the store of an endpoint's current process.
     [[nodiscard]] std::string endpoint_name(std::size_t index) const;
     /// Whether a node's readiness probe succeeds.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -41,6 +41,8 @@
 // Time by which a slow store holds its answers back, and for how long
 constexpr auto slow_store_delay = 160ms;
 constexpr auto slow_store_time = 4s;
+// Time for which a store that is restored does not answer
+constexpr std::chrono::milliseconds store_away_time = 800ms;
 // Step of the loop that waits for due actions and stopping nodes
 constexpr auto poll_interval = 10ms;
 
@@ -193,6 +195,8 @@
         return inject_cut(fault);
     case fault_kind::large_change:
         return inject_large_change(fault);
+    case fault_kind::store_restore:
+        return inject_restore(fault);
     case fault_kind::node_pause:
     case fault_kind::node_kill:
     case fault_kind::node_stop:
@@ -276,14 +280,48 @@
                        [this, delay]
                        {
                            fleet_.store->signal(SIGCONT);
-                           auto const added = delay == 0ms ? options_.added_routes : 0;
-                           auto const version = fleet_.publish_configuration(added);
-                           schedule_after(configuration_timeout,
-                                          [this, version, now = monotonic_ms()]
-                                          { check_configuration(version, now); });
+                           publish_checked(delay == 0ms ? options_.added_routes : 0);
                        });
 }
 
+void soak_run::publish_checked(std::size_t added_routes)
+{
+    auto const version = fleet_.publish_configuration(added_routes);
+    schedule_after(configuration_timeout, [this, version, now = monotonic_ms()]
+                   { check_configuration(version, now); });
+}
+
+void soak_run::inject_restore(soak_fault const& fault)
+{
+    fleet_.store->signal(SIGCONT);
+    fleet_.copy_store();
+
+    // Lost with all that happens until then
+    fleet_.publish_configuration();
+    schedule_after(fault.duration,
+                   [this]
+                   {
+                       fleet_.store->signal(SIGSTOP);
+                       for (std::size_t node = 0; node < fleet_.nodes.size(); ++node)
+                           note_store_fault(node, store_away_time);
+                   });
+    schedule_after(fault.duration + store_away_time,
+                   [this]
+                   {
+                       fleet_.store->signal(SIGCONT);
+                       fleet_.restore_store();
+                       fleet_.rewrite_operator_data();
+                   });
+    schedule_after(
+        fault.duration + store_away_time + std::chrono::milliseconds(contact_ms),
+        [this, target = fault.target]
+        {
+            fleet_.store->signal(SIGCONT);
+            inject_endpoint_fault({.kind = fault_kind::endpoint_drain, .target = target});
+            publish_checked(1);
+        });
+}
+
 void soak_run::check_configuration(std::uint64_t version, std::int64_t published_ms)
 {
     auto const now = monotonic_ms();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -73,6 +73,9 @@
     void inject_limit(soak_fault const& fault);
     void inject_cut(soak_fault const& fault);
     void inject_large_change(soak_fault const& fault);
+    void inject_restore(soak_fault const& fault);
+    // Publishes a configuration with more routes and checks in time that it is in force
+    void publish_checked(std::size_t added_routes);
     // Checks that all undisturbed nodes have the configuration that was published last
     void check_configuration(std::uint64_t version, std::int64_t published_ms);
     // Notes that a node cannot be expected to learn of changes for some time
