Test more orders of events around a restored store and endless answers

Shown to hold: pages of two eras, listings with their era, heartbeats with the new fields; interim answers without end, bytes behind a whole answer, an endless answer to another request.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -251,6 +251,11 @@
 {
     if (call(store->address(), "PUT", "/standin/copy").status != 200)
         throw std::runtime_error("the store did not take a copy");
+
+    // More than are made in the restored store while a seed runs
+    constexpr int lost_changes = 500;
+    for (int change = 0; change < lost_changes; ++change)
+        put(fmt::format("other/{}", change), "lost");
 }
 
 void soak_fleet::restore_store() const
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -95,8 +95,9 @@
     /// Makes the store hold each answer to a read back for a time.
     void delay_store(std::chrono::milliseconds delay) const;
 
-    /// Takes a copy of the store, and returns the store to it.
+    /// Takes a copy of the store, and makes changes that it lacks.
     void copy_store() const;
+    /// Returns the store to the copy.
     void restore_store() const;
 
     /// Writes again what the operator wrote last.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -43,6 +43,8 @@
 constexpr auto slow_store_time = 4s;
 // Time for which a store that is restored does not answer
 constexpr std::chrono::milliseconds store_away_time = 800ms;
+// Time from its return until its bounds hold for what is written, and delays of the soak
+constexpr std::chrono::milliseconds settled_delay(contact_ms + 500);
 // Step of the loop that waits for due actions and stopping nodes
 constexpr auto poll_interval = 10ms;
 
@@ -312,14 +314,14 @@
                        fleet_.restore_store();
                        fleet_.rewrite_operator_data();
                    });
-    schedule_after(
-        fault.duration + store_away_time + std::chrono::milliseconds(contact_ms),
-        [this, target = fault.target]
-        {
-            fleet_.store->signal(SIGCONT);
-            inject_endpoint_fault({.kind = fault_kind::endpoint_drain, .target = target});
-            publish_checked(1);
-        });
+    schedule_after(fault.duration + store_away_time + settled_delay,
+                   [this, target = fault.target]
+                   {
+                       fleet_.store->signal(SIGCONT);
+                       inject_endpoint_fault(
+                           {.kind = fault_kind::endpoint_drain, .target = target});
+                       publish_checked(1);
+                   });
 }
 
 void soak_run::check_configuration(std::uint64_t version, std::int64_t published_ms)
@@ -335,10 +337,9 @@
             late.push_back(node);
     }
     if (!late.empty())
-        breaches_.push_back(fmt::format("configuration {} with {} more routes was not in "
-                                        "force at nodes {} after {} ms",
-                                        version, options_.added_routes,
-                                        fmt::join(late, ", "), now - published_ms));
+        breaches_.push_back(
+            fmt::format("configuration {} was not in force at nodes {} after {} ms",
+                        version, fmt::join(late, ", "), now - published_ms));
 }
 
 void soak_run::note_store_fault(std::size_t node, std::chrono::milliseconds time)
--- a/tests/unit/entry/entry_answer_test.cpp
+++ b/tests/unit/entry/entry_answer_test.cpp
@@ -152,6 +152,39 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(interim_answers_without_end_are_no_answer)
+{
+    std::string interim;
+    for (int index = 0; index < 10'000; ++index)
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    entry_fixture entry({{.text = interim, .closes = false}}, {});
+    auto const begin = boot_now();
+    auto const answer = entry.send_request(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+    BOOST_TEST((boot_now() - begin < 1s));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_behind_a_whole_answer_are_not_kept_or_used)
+{
+    auto const text = sealed("whole") + std::string(1'000'000, 'x');
+    entry_fixture entry({{.text = text, .closes = false}, {sealed("next")}}, {});
+    BOOST_TEST(entry.send_request(http::verb::post, "/unsafe/x").ends_with("whole"));
+    entry.done = false;
+    BOOST_TEST(entry.send_request(http::verb::post, "/unsafe/x").ends_with("next"));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_another_request_without_end_is_not_skipped_for_long)
+{
+    auto const foreign = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n1;" +
+                         std::string(1'000'000, 'a');
+    entry_fixture entry({{.text = foreign, .closes = false}}, {});
+    auto const begin = boot_now();
+    auto const answer = entry.send_request(http::verb::post, "/unsafe/x");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+    BOOST_TEST((boot_now() - begin < 1s));
+}
+
 BOOST_AUTO_TEST_CASE(events_before_invalid_bytes_are_not_missing)
 {
     std::string const endless(300'000, 'x');
--- a/tests/unit/peer/peer_test.cpp
+++ b/tests/unit/peer/peer_test.cpp
@@ -400,10 +400,16 @@
     heartbeat.convictions.push_back({.fingerprint = fingerprint_id(8), .first_crash = 1});
     heartbeat.rate_limits.push_back(
         {.endpoint = endpoint_id(9), .started_at_ms = 3, .rate = 2.5, .age = 7ms});
+    heartbeat.operator_change = {.era = 2, .revision = 40};
+    heartbeat.kept_configuration = 6;
+    heartbeat.listing_position = {.era = 3, .revision = 50};
     auto const read =
         serving::decode_peer_message(serving::encode_peer_message(heartbeat)).value();
     auto const& back = std::get<peer_heartbeat>(read);
     BOOST_TEST((back.host == heartbeat.host));
+    BOOST_TEST((back.operator_change == heartbeat.operator_change));
+    BOOST_TEST(back.kept_configuration == 6U);
+    BOOST_TEST((back.listing_position == heartbeat.listing_position));
     BOOST_TEST((back.mentions.at(0).address == address_of(2)));
     BOOST_TEST(back.engines.at(0).adapters.at(0).name == "m/a1");
     BOOST_TEST((back.engines.at(0).adapters.at(0).ready_in == 5ms));
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -237,6 +237,56 @@
     BOOST_TEST((update->error == serving::remote_error::history_changed));
 }
 
+// The pages of one read came from two histories
+BOOST_AUTO_TEST_CASE(a_read_during_which_the_store_is_restored_starts_again)
+{
+    using namespace std::chrono_literals;
+    write_configuration(1);
+    write_version("a1", 4);
+    call_store("/standin/copy");
+    write_version("a1", 5);
+    set_pages(page_items, false);
+    call_store("/standin/delay?ms=100");
+    auto client = make_client();
+    std::optional<serving::operator_update> update;
+    asio::co_spawn(loop, client.read_operator(),
+                   [&](std::exception_ptr const&, serving::operator_update value)
+                   { update = std::move(value); });
+    // The first page has been sent
+    loop.run_for(150ms);
+    call_store("/standin/restore");
+    loop.run_for(1s);
+    BOOST_REQUIRE(update.has_value());
+    BOOST_TEST(!update->error);
+    BOOST_TEST(update->position.era == 2U);
+    BOOST_REQUIRE(update->configuration);
+    BOOST_REQUIRE(update->versions.size() == 1U);
+    BOOST_TEST(update->versions[0].version == 4U);
+    BOOST_TEST((client.operator_complete() == update->position));
+}
+
+BOOST_AUTO_TEST_CASE(the_listing_of_a_restored_store_has_its_era)
+{
+    call_store("/standin/put?key=servers/i-1",
+               R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1",
+                   "slots":6,"state":"ready","coldLeftMs":0,"sequence":4,"born":17})");
+    call_store("/standin/copy");
+    call_store("/standin/restore");
+    auto client = make_client();
+    auto const listing = run(client.read_endpoints());
+    BOOST_TEST(listing.position.era == 2U);
+    BOOST_REQUIRE(listing.endpoints.size() == 1U);
+    BOOST_TEST(listing.endpoints[0].position.era == 2U);
+    auto const relayed = platform::store_client::read_relayed_endpoints(listing.relayed);
+    BOOST_TEST((relayed.position == listing.position));
+    BOOST_TEST((relayed.endpoints.at(0).position == listing.endpoints[0].position));
+
+    // A copy of a build that does not know eras
+    auto const older =
+        platform::store_client::read_relayed_endpoints(R"({"items":[],"currentRev":9})");
+    BOOST_TEST((older.position == store_position{.revision = 9}));
+}
+
 // A host that had started before it, or that others tell, knows better than the copy
 BOOST_AUTO_TEST_CASE(a_configuration_newer_than_the_copys_is_kept_and_passed_on)
 {
