Reset the connection of an order that is given up

Cause: the connection was closed in an orderly way, so that the kernel delivered what was written when the link was back.

Change: the connection is reset at the timeout, which drops what is not delivered.

--- a/serving/endpoint/pooled_fetch.cpp
+++ b/serving/endpoint/pooled_fetch.cpp
@@ -78,7 +78,8 @@
     request.prepare_payload();
 
     // At the timeout, closing the connection cancels the connect, write or read in
-    // progress
+    // progress. The connection is reset, so that what was written but not yet delivered
+    // is dropped: an order that was given up must not arrive later
     auto connection = options.new_connection ? nullptr : pool.take_idle(endpoint);
     auto const is_pooled = connection != nullptr;
     if (!is_pooled)
@@ -89,9 +90,11 @@
     timer.async_wait(
         [connection, timer_active](error_code error)
         {
+            if (error || !*timer_active)
+                return;
             error_code ignored;
-            if (!error && *timer_active)
-                connection->close(ignored);
+            connection->set_option(asio::socket_base::linger(true, 0), ignored);
+            connection->close(ignored);
         });
 
     auto reusable = false;
--- a/tests/unit/endpoint/pooled_fetch_test.cpp
+++ b/tests/unit/endpoint/pooled_fetch_test.cpp
@@ -48,6 +48,45 @@
     BOOST_TEST(answer.body == "{}");
 }
 
+// An order that was given up behind a cut link reached its engine when the link was back:
+// after the adapter's place had been given away, and after orders with a higher token
+BOOST_AUTO_TEST_CASE(a_request_that_was_given_up_is_not_delivered_later)
+{
+    asio::io_context loop;
+    tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+    connection_pool pool(loop.get_executor(), {});
+    directory_entry const endpoint{
+        .id = endpoint_id::of("e"), .name = "e", .address = acceptor.local_endpoint()};
+
+    // More than the sockets hold while the endpoint reads nothing
+    constexpr std::size_t order_bytes = 30'000'000;
+    http::request<http::string_body> order(http::verb::post, "/", 11);
+    order.body().assign(order_bytes, 'x');
+    auto given_up = false;
+    asio::co_spawn(
+        loop,
+        [&]() -> asio::awaitable<void>
+        {
+            auto const result = co_await pooled_fetch(pool, endpoint, std::move(order),
+                                                      {.timeout = 200ms});
+            BOOST_TEST(static_cast<bool>(result.error));
+            given_up = true;
+        },
+        asio::detached);
+    tcp::socket engine(loop);
+    acceptor.async_accept(engine, [](error_code) {});
+    while (!given_up)
+        loop.run_one();
+
+    std::size_t delivered = 0;
+    error_code error;
+    std::vector<char> bytes(1'000'000);
+    while (!error)
+        delivered += engine.read_some(asio::buffer(bytes), error);
+    BOOST_TEST((error == asio::error::connection_reset), error.message());
+    BOOST_TEST(delivered < order_bytes);
+}
+
 BOOST_AUTO_TEST_CASE(an_address_that_is_none_fails_the_connection_only)
 {
     asio::io_context loop;
