Take entries that a restored store still has for no news

Found by reading the change: the first listing of an era gave each entry of the copy as an update, although it was written before what hosts know from their own orders since (engines write nothing when they load an adapter).

Change: an entry of a later era that differs in nothing but its position only moves the position.

--- a/marjorampath/deployment/endpoint_announcement.hpp
+++ b/marjorampath/deployment/endpoint_announcement.hpp
@@ -48,6 +48,9 @@
     std::vector<std::string> models;
     /// Adapters that it has loaded.
     std::vector<versioned_adapter> adapters;
+
+    friend bool operator==(endpoint_announcement const&,
+                           endpoint_announcement const&) = default;
 };
 
 } // namespace marjorampath
--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -123,6 +123,13 @@
            (listed_at >= keep_missing_until_ || !is_of_copy(entry));
 }
 
+bool endpoint_catalog::is_same_but_position(endpoint_announcement const& known,
+                                            endpoint_announcement entry)
+{
+    entry.position = known.position;
+    return entry == known;
+}
+
 bool endpoint_catalog::is_of_copy(endpoint_announcement const& entry) const
 {
     return entry.position <= era_start_;
@@ -166,6 +173,14 @@
     auto& known = found->second;
     if (entry.position <= known.position)
         return;
+
+    // An entry that a restored store still has is no news of its endpoint
+    auto const is_new_era = known.position.era < entry.position.era;
+    if (is_new_era && is_same_but_position(known, entry))
+    {
+        known.position = entry.position;
+        return;
+    }
     if (entry.started_at_ms < known.started_at_ms && !outlasts_known(entry, listed_at))
     {
         provisional_ = true;
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -162,6 +162,9 @@
         time_point listed_since;
     };
 
+    // Whether two entries of an endpoint differ in nothing but their position
+    static bool is_same_but_position(endpoint_announcement const& known,
+                                     endpoint_announcement entry);
     // Whether an entry is from the copy that the store was restored from, as far as is
     // known: it was not written since the first listing of the era
     [[nodiscard]] bool is_of_copy(endpoint_announcement const& entry) const;
