--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -17,8 +17,9 @@
         if (endpoint_answered_)
             context_->reach.on_answer(request_.dispatch_call.service);
         if (broken)
-            co_return end_of_broken(broken, reader.got_some() ? attempt_end::invalid_answer
-                                                              : attempt_end::lost);
+            co_return end_of_broken(broken, reader.got_some()
+                                                ? attempt_end::invalid_answer
+                                                : attempt_end::lost);
 
         auto const verdict = Dialect::classify_answer(
             reader.get_head(), request_.caller_attempt_id, endpoint.name,
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -221,13 +221,14 @@
     if (age > times_.fallback.max_listing_age)
     {
         if (old_listing_age_ == duration{0})
-            log_event(event::listing_aged, "revision", catalog_.position().revision, "age_ms",
-                      age.count() / 1'000'000);
+            log_event(event::listing_aged, "revision", catalog_.position().revision,
+                      "age_ms", age.count() / 1'000'000);
         old_listing_age_ = std::max(old_listing_age_, age);
     }
     else if (old_listing_age_ != duration{0})
     {
-        log_event(event::listing_renewed, "revision", catalog_.position().revision, "age_ms",
+        log_event(event::listing_renewed, "revision", catalog_.position().revision,
+                  "age_ms",
                   std::exchange(old_listing_age_, duration{0}).count() / 1'000'000);
     }
 }
@@ -236,17 +237,17 @@
 relay_choice entry_node<Platform>::choose_relays_except(relay_failures& failures) const
 {
     auto const now = boot_now();
-    return choose_relays(fleet_.peers(),
-                         {.host = host_id::of(settings_.host),
-                          .zone = zone_id::of(settings_.zone),
-                          .operator_change = source_.operator_data().change,
-                          .configuration_version =
-                              context_.routes ? context_.routes->source().version : 0,
-                          .listing_position = catalog_.position(),
-                          .listing_age = listing_age(now),
-                          .other_zone_penalty = times_.other_zone_penalty,
-                          .failed_relays = failures.recent(now)},
-                         now);
+    return choose_relays(
+        fleet_.peers(),
+        {.host = host_id::of(settings_.host),
+         .zone = zone_id::of(settings_.zone),
+         .operator_change = source_.operator_data().change,
+         .configuration_version = context_.routes ? context_.routes->source().version : 0,
+         .listing_position = catalog_.position(),
+         .listing_age = listing_age(now),
+         .other_zone_penalty = times_.other_zone_penalty,
+         .failed_relays = failures.recent(now)},
+        now);
 }
 
 template <entry_platform Platform>
@@ -316,9 +317,8 @@
         co_return;
     }
     log_event(event::view_relayed, "revision", listing.position.revision, "era",
-              listing.position.era, "age_ms",
-              relayed->age.count() / 1'000'000, "own_age_ms",
-              own_age.count() / 1'000'000);
+              listing.position.era, "age_ms", relayed->age.count() / 1'000'000,
+              "own_age_ms", own_age.count() / 1'000'000);
     listing.listed_at = now - relayed->age;
     listing.available_since = now - relayed->available_for;
     listing.relayed = std::move(relayed->body);
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -191,8 +191,9 @@
         catalog_.apply_listing(listing.listed_at, listing.position,
                                std::move(listing.endpoints), listing.available_since);
     if (catalog_.outages() != outages)
-        log_event(event::missing_entries_kept, "revision", listing.position.revision, "source",
-                  source, "gap_ms", (listing.listed_at - *previous).count() / 1'000'000);
+        log_event(event::missing_entries_kept, "revision", listing.position.revision,
+                  "source", source, "gap_ms",
+                  (listing.listed_at - *previous).count() / 1'000'000);
     note_listing_history(before, source);
     for (auto const& change : changes)
         apply_endpoint_change(change, source);
@@ -208,8 +209,9 @@
     if (before == store_position{} || position.era == before.era)
         return;
     log_event(event::listing_history_changed, "old_era", before.era, "old_revision",
-              before.revision, "era", position.era, "revision", position.revision, "known",
-              catalog_.endpoints().size(), "kept", catalog_.kept(), "source", source);
+              before.revision, "era", position.era, "revision", position.revision,
+              "known", catalog_.endpoints().size(), "kept", catalog_.kept(), "source",
+              source);
     context_.metrics.count(history_changes_metric, "view", "listing");
 }
 
