Show that clients without limits take a node past its memory

Cause: each reader of a node has its bound, but nothing adds up what all clients hold. The stand-in of a plain service gets a body size, slots, organisations and records of the caller's organisation.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <poll.h>
 #include <spawn.h>
 #include <stdexcept>
@@ -136,6 +137,13 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    auto const folder = fmt::format("/proc/{}/fd", pid_);
+    auto const open = std::filesystem::directory_iterator(folder);
+    return static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
+
 std::size_t child_process::peak_memory_kb() const
 {
     std::ifstream file(fmt::format("/proc/{}/status", pid_));
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -67,6 +67,9 @@
     /// Highest resident memory of the process so far, in kilobytes.
     [[nodiscard]] std::size_t peak_memory_kb() const;
 
+    /// Number of descriptors that the process has open.
+    [[nodiscard]] std::size_t open_descriptors() const;
+
     /// Exit status that the process must end with: 0, or -1 after a SIGKILL from here.
     [[nodiscard]] int expected_status() const noexcept
     {
--- a/tests/process/entry_process.cpp
+++ b/tests/process/entry_process.cpp
@@ -8,8 +8,10 @@
 
 #include <fmt/format.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <platform/standin/operator_documents.hpp>
 #include <platform/store_codec.hpp>
 #include <stdexcept>
@@ -45,9 +47,7 @@
     store_ = std::make_unique<child_process>("marjorampath-standin",
                                              std::vector<std::string>{"users-store"},
                                              file("store.log"));
-    call(store_->address(), "PUT",
-         fmt::format("/standin/put?key={}", platform::configuration_key),
-         platform::configuration_document({}));
+    publish(values.deployment);
     start_endpoint(values);
     start_node(values);
     if (!eventually([this] { return call(readiness_, "GET", "/readyz").status == 200; }))
@@ -83,6 +83,10 @@
                                              store_->address_text(),
                                              "--work-ms",
                                              fmt::to_string(values.work_time.count()),
+                                             "--plain-bytes",
+                                             fmt::to_string(values.plain_body_bytes),
+                                             "--slots",
+                                             fmt::to_string(values.endpoint_slots),
                                              "--records",
                                              file("records")};
     endpoint_ = std::make_unique<child_process>("marjorampath-standin", arguments,
@@ -102,15 +106,39 @@
         "host: \"node-0\"\nzone: \"zone-a\"\ncallers: \"{}\"\n"
         "readiness: \"{}\"\nreadiness_path: \"/readyz\"\nrelay: \"{}\"\n"
         "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
-        "outgoing: \"127.0.0.1\"\ngrace_s: {}\n",
+        "outgoing: \"127.0.0.1\"\ngrace_s: {}\n{}",
         format_address(callers), format_address(readiness_), format_address(relay),
         format_address(peers), format_address(relay), store_->address_text(),
-        values.grace.count());
+        values.grace.count(), values.node_settings);
     node_ = std::make_unique<child_process>(
         "marjorampath-entry", std::vector<std::string>{"--settings", file("node.yaml")},
         file("node.log"), callers);
 }
 
+void entry_process::pause_store(bool paused)
+{
+    store_->signal(paused ? SIGSTOP : SIGCONT);
+}
+
+void entry_process::publish(platform::standin_deployment const& deployment) const
+{
+    call(store_->address(), "PUT",
+         fmt::format("/standin/put?key={}", platform::configuration_key),
+         platform::configuration_document(deployment));
+}
+
+std::string entry_process::records() const
+{
+    std::ifstream records(file("records"));
+    return {std::istreambuf_iterator<char>(records), {}};
+}
+
+std::string entry_process::node_log() const
+{
+    std::ifstream log(file("node.log"));
+    return {std::istreambuf_iterator<char>(log), {}};
+}
+
 bool entry_process::has_run(std::string const& attempt) const
 {
     auto const wanted = fmt::format("\"attempt\":\"{}\"", attempt);
--- a/tests/process/entry_process.hpp
+++ b/tests/process/entry_process.hpp
@@ -5,8 +5,11 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <platform/standin/operator_documents.hpp>
 #include <string>
 
 namespace marjorampath::test
@@ -24,6 +27,14 @@
         std::chrono::milliseconds work_time{10};
         /// Grace period of the node.
         std::chrono::seconds grace{4};
+        /// Least size of an answer of the endpoint, in bytes.
+        std::size_t plain_body_bytes = 800;
+        /// Requests that the endpoint runs at once.
+        std::uint32_t endpoint_slots = 16;
+        /// Configuration that the operator published first.
+        platform::standin_deployment deployment;
+        /// Lines added to the node's settings file.
+        std::string node_settings;
     };
 
     /// Starts all processes and waits until the node is ready. Throws std::runtime_error
@@ -48,6 +59,18 @@
         return store_->address();
     }
 
+    /// Pauses or resumes the store.
+    void pause_store(bool paused);
+
+    /// Publishes a configuration.
+    void publish(platform::standin_deployment const& deployment) const;
+
+    /// Lines of the endpoint's records.
+    [[nodiscard]] std::string records() const;
+
+    /// The node's log.
+    [[nodiscard]] std::string node_log() const;
+
     /// Address of the endpoint.
     [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
     {
