--- a/marjorampath/core/error_kind.cpp
+++ b/marjorampath/core/error_kind.cpp
@@ -58,6 +58,9 @@
                  "The host that decides about this request cannot be reached."},
     error_answer{caller_gone, "caller-gone", 499, outcome::unknown, false,
                  "The caller closed its connection."},
+    error_answer{configuration_unconfirmed, "configuration-unconfirmed", 503,
+                 outcome::not_run, true,
+                 "This host cannot confirm its configuration now."},
     error_answer{internal, "internal", 500, outcome::unknown, false,
                  "A defect of this program."},
 };
--- a/marjorampath/core/error_kind.hpp
+++ b/marjorampath/core/error_kind.hpp
@@ -56,6 +56,9 @@
     owner_unreachable,
     /// The caller closed its connection.
     caller_gone,
+    /// This host cannot tell whether its configuration is still in force, so the caller's
+    /// key may have been revoked.
+    configuration_unconfirmed,
     /// A defect in this program.
     internal
 };
--- a/marjorampath/deployment/deployment.hpp
+++ b/marjorampath/deployment/deployment.hpp
@@ -2,8 +2,10 @@
 
 #include <marjorampath/deployment/route.hpp>
 #include <marjorampath/deployment/service_definition.hpp>
+#include <marjorampath/organisation/organisation_list.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace marjorampath
@@ -29,6 +31,8 @@
     /// Services that the routes refer to.
     std::vector<service_definition> services;
     caller_bounds bounds;
+    /// Organisations whose callers may send requests; unset if callers need no key.
+    std::optional<organisation_list> organisations;
 
     /// Returns the service with this identifier, or null.
     [[nodiscard]] service_definition const* find_service(service_id id) const noexcept
--- a/marjorampath/deployment/route.hpp
+++ b/marjorampath/deployment/route.hpp
@@ -39,6 +39,8 @@
     /// Maximum number of attempts per request, not counting refusals and failed
     /// connections, which certainly did not run it.
     std::uint32_t max_attempts = 1;
+    /// Whether callers need no key, also in a deployment with organisations.
+    bool open = false;
     /// Services that requests are distributed to; never empty.
     std::vector<weighted_service> services;
 };
--- a/marjorampath/deployment/route_table.cpp
+++ b/marjorampath/deployment/route_table.cpp
@@ -1,3 +1,4 @@
+#include <marjorampath/core/hash.hpp>
 #include <marjorampath/deployment/route_table.hpp>
 
 #include <utility>
@@ -5,26 +6,18 @@
 namespace marjorampath
 {
 
-namespace
+std::size_t route_table::route_key_hash::operator()(route_key const& key) const noexcept
 {
-
-// Key of the route index
-std::string route_key(std::string_view host, std::string_view prefix)
-{
-    std::string key;
-    key.reserve(host.size() + prefix.size());
-    key += host;
-    key += prefix;
-    return key;
+    return hash_combine(hash_bytes(key.host), hash_bytes(key.prefix));
 }
 
-} // namespace
-
-route_table::route_table(std::shared_ptr<deployment const> source)
+route_table::route_table(std::shared_ptr<deployment const> source, std::uint64_t key_seed)
     : source_(std::move(source))
 {
     for (auto const& each : source_->routes)
-        routes_.emplace(route_key(each.host, each.prefix), &each);
+        routes_.emplace(route_key{.host = each.host, .prefix = each.prefix}, &each);
+    if (source_->organisations)
+        organisations_.emplace(source_->organisations->organisations, key_seed);
 }
 
 route const* route_table::find(std::string_view host, std::string_view path) const
@@ -34,7 +27,8 @@
     for (auto end = path.rfind('/'); end != std::string_view::npos;
          end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1))
     {
-        auto const found = routes_.find(route_key(host, path.substr(0, end + 1)));
+        auto const found =
+            routes_.find({.host = host, .prefix = path.substr(0, end + 1)});
         if (found != routes_.end())
             return found->second;
     }
--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -11,6 +11,7 @@
 #include <marjorampath/suspect/part_report.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,9 @@
     std::uint64_t sequence = 0;
     /// Whether the receiver should pass it on to its own group.
     bool to_pass_on = false;
+    /// Time since its configuration was certainly current; unset if it does not know or
+    /// is of a build that does not say so.
+    std::optional<duration> configuration_age;
     /// Heartbeats of other groups' hosts that the sender passes on.
     std::vector<relayed_heartbeat> relayed;
 };
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -100,6 +100,17 @@
   soundAge @3 :Int64;
 }
 
+struct FreshnessQuery {
+  number @0 :UInt64;
+}
+
+struct FreshnessReply {
+  number @0 :UInt64;
+  version @1 :UInt64;
+  # Negative if it is not known.
+  age @2 :Int64 = -1;
+}
+
 struct RelayedBeat {
   # A PeerMessage with a beat, as it was received.
   message @0 :Data;
@@ -132,6 +143,8 @@
   operatorEra @21 :UInt64;
   keptConfiguration @22 :UInt64;
   listingEra @23 :UInt64;
+  # Negative if it is not known.
+  configurationAge @24 :Int64 = -1;
 }
 
 struct LoadRequest {
@@ -168,5 +181,7 @@
     streamOrigin @11 :StreamOrigin;
     streamOriginQuery @12 :StreamOriginQuery;
     streamOriginReply @13 :StreamOriginReply;
+    freshnessQuery @14 :FreshnessQuery;
+    freshnessReply @15 :FreshnessReply;
   }
 }
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -34,6 +34,8 @@
 CAPNP_DECLARE_SCHEMA(dc4baf79047496ac);
 CAPNP_DECLARE_SCHEMA(a972d0aa9c6a8f01);
 CAPNP_DECLARE_SCHEMA(f9c0ec2407734343);
+CAPNP_DECLARE_SCHEMA(e0f9a462a95e069b);
+CAPNP_DECLARE_SCHEMA(e45ab6b0e7a3d162);
 CAPNP_DECLARE_SCHEMA(9d9beeb9de07f55e);
 CAPNP_DECLARE_SCHEMA(971727d6bb86b28a);
 CAPNP_DECLARE_SCHEMA(96cbd4fe8a8c5b2b);
@@ -257,6 +259,36 @@
   };
 };
 
+struct FreshnessQuery {
+  FreshnessQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e0f9a462a95e069b, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FreshnessReply {
+  FreshnessReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e45ab6b0e7a3d162, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RelayedBeat {
   RelayedBeat() = delete;
 
@@ -280,7 +312,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 11, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 12, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -353,6 +385,8 @@
     STREAM_ORIGIN,
     STREAM_ORIGIN_QUERY,
     STREAM_ORIGIN_REPLY,
+    FRESHNESS_QUERY,
+    FRESHNESS_REPLY,
   };
 
   struct _capnpPrivate {
@@ -1673,6 +1707,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class FreshnessQuery::Reader {
+public:
+  typedef FreshnessQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FreshnessQuery::Builder {
+public:
+  typedef FreshnessQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FreshnessQuery::Pipeline {
+public:
+  typedef FreshnessQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FreshnessReply::Reader {
+public:
+  typedef FreshnessReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::int64_t getAge() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FreshnessReply::Builder {
+public:
+  typedef FreshnessReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::int64_t getAge();
+  inline void setAge( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FreshnessReply::Pipeline {
+public:
+  typedef FreshnessReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RelayedBeat::Reader {
 public:
   typedef RelayedBeat Reads;
@@ -1833,6 +2029,8 @@
 
   inline  ::uint64_t getListingEra() const;
 
+  inline  ::int64_t getConfigurationAge() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1970,6 +2168,9 @@
   inline  ::uint64_t getListingEra();
   inline void setListingEra( ::uint64_t value);
 
+  inline  ::int64_t getConfigurationAge();
+  inline void setConfigurationAge( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2345,6 +2546,14 @@
   inline bool hasStreamOriginReply() const;
   inline  ::marjorampath::schema::StreamOriginReply::Reader getStreamOriginReply() const;
 
+  inline bool isFreshnessQuery() const;
+  inline bool hasFreshnessQuery() const;
+  inline  ::marjorampath::schema::FreshnessQuery::Reader getFreshnessQuery() const;
+
+  inline bool isFreshnessReply() const;
+  inline bool hasFreshnessReply() const;
+  inline  ::marjorampath::schema::FreshnessReply::Reader getFreshnessReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2486,6 +2695,22 @@
   inline void adoptStreamOriginReply(::capnp::Orphan< ::marjorampath::schema::StreamOriginReply>&& value);
   inline ::capnp::Orphan< ::marjorampath::schema::StreamOriginReply> disownStreamOriginReply();
 
+  inline bool isFreshnessQuery();
+  inline bool hasFreshnessQuery();
+  inline  ::marjorampath::schema::FreshnessQuery::Builder getFreshnessQuery();
+  inline void setFreshnessQuery( ::marjorampath::schema::FreshnessQuery::Reader value);
+  inline  ::marjorampath::schema::FreshnessQuery::Builder initFreshnessQuery();
+  inline void adoptFreshnessQuery(::capnp::Orphan< ::marjorampath::schema::FreshnessQuery>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::FreshnessQuery> disownFreshnessQuery();
+
+  inline bool isFreshnessReply();
+  inline bool hasFreshnessReply();
+  inline  ::marjorampath::schema::FreshnessReply::Builder getFreshnessReply();
+  inline void setFreshnessReply( ::marjorampath::schema::FreshnessReply::Reader value);
+  inline  ::marjorampath::schema::FreshnessReply::Builder initFreshnessReply();
+  inline void adoptFreshnessReply(::capnp::Orphan< ::marjorampath::schema::FreshnessReply>&& value);
+  inline ::capnp::Orphan< ::marjorampath::schema::FreshnessReply> disownFreshnessReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3467,6 +3692,62 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t FreshnessQuery::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FreshnessQuery::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessQuery::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FreshnessReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FreshnessReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FreshnessReply::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FreshnessReply::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FreshnessReply::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FreshnessReply::Reader::getAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t FreshnessReply::Builder::getAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void FreshnessReply::Builder::setAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline bool RelayedBeat::Reader::hasMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4040,6 +4321,20 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t PeerBeat::Reader::getConfigurationAge() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t PeerBeat::Builder::getConfigurationAge() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void PeerBeat::Builder::setConfigurationAge( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4996,6 +5291,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Reader::isFreshnessQuery() const {
+  return which() == PeerMessage::FRESHNESS_QUERY;
+}
+inline bool PeerMessage::Builder::isFreshnessQuery() {
+  return which() == PeerMessage::FRESHNESS_QUERY;
+}
+inline bool PeerMessage::Reader::hasFreshnessQuery() const {
+  if (which() != PeerMessage::FRESHNESS_QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasFreshnessQuery() {
+  if (which() != PeerMessage::FRESHNESS_QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::FreshnessQuery::Reader PeerMessage::Reader::getFreshnessQuery() const {
+  KJ_IREQUIRE((which() == PeerMessage::FRESHNESS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::FreshnessQuery::Builder PeerMessage::Builder::getFreshnessQuery() {
+  KJ_IREQUIRE((which() == PeerMessage::FRESHNESS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setFreshnessQuery( ::marjorampath::schema::FreshnessQuery::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FRESHNESS_QUERY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::FreshnessQuery::Builder PeerMessage::Builder::initFreshnessQuery() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FRESHNESS_QUERY);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptFreshnessQuery(
+    ::capnp::Orphan< ::marjorampath::schema::FreshnessQuery>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FRESHNESS_QUERY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::FreshnessQuery> PeerMessage::Builder::disownFreshnessQuery() {
+  KJ_IREQUIRE((which() == PeerMessage::FRESHNESS_QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Reader::isFreshnessReply() const {
+  return which() == PeerMessage::FRESHNESS_REPLY;
+}
+inline bool PeerMessage::Builder::isFreshnessReply() {
+  return which() == PeerMessage::FRESHNESS_REPLY;
+}
+inline bool PeerMessage::Reader::hasFreshnessReply() const {
+  if (which() != PeerMessage::FRESHNESS_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Builder::hasFreshnessReply() {
+  if (which() != PeerMessage::FRESHNESS_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::marjorampath::schema::FreshnessReply::Reader PeerMessage::Reader::getFreshnessReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::FRESHNESS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::marjorampath::schema::FreshnessReply::Builder PeerMessage::Builder::getFreshnessReply() {
+  KJ_IREQUIRE((which() == PeerMessage::FRESHNESS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::setFreshnessReply( ::marjorampath::schema::FreshnessReply::Reader value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FRESHNESS_REPLY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::marjorampath::schema::FreshnessReply::Builder PeerMessage::Builder::initFreshnessReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FRESHNESS_REPLY);
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Builder::adoptFreshnessReply(
+    ::capnp::Orphan< ::marjorampath::schema::FreshnessReply>&& value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::FRESHNESS_REPLY);
+  ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::marjorampath::schema::FreshnessReply> PeerMessage::Builder::disownFreshnessReply() {
+  KJ_IREQUIRE((which() == PeerMessage::FRESHNESS_REPLY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::marjorampath::schema::FreshnessReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/serving/caller/caller_context.hpp
+++ b/serving/caller/caller_context.hpp
@@ -4,12 +4,14 @@
 #include <marjorampath/core/identifier.hpp>
 #include <serving/caller/caller_limits.hpp>
 #include <serving/caller/caller_request.hpp>
+#include <serving/caller/error_reply.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace marjorampath::serving
 {
@@ -27,6 +29,9 @@
     /// Handles one request and sends the answer through the session.
     std::function<boost::asio::awaitable<void>(caller_session&, caller_message const&)>
         handle_request;
+    /// Refuses a request by its head, before its body is read; empty answer for one that
+    /// may go on. May be null.
+    std::function<std::optional<caller_answer>(caller_message const&)> refuse_head;
     /// Hash seed of the request identifiers; differs for every thread and every start of
     /// the program.
     std::uint64_t request_seed = 0;
--- a/serving/caller/caller_session.cpp
+++ b/serving/caller/caller_session.cpp
@@ -116,7 +116,12 @@
     parser.header_limit(context_->limits.max_head_bytes);
     parser.body_limit(context_->limits.max_body_bytes);
     limit_unparsed(buffer_, context_->limits.max_head_bytes, read_ahead_bytes);
-    auto const error = co_await receive(parser);
+    auto error = co_await receive_head(parser);
+    if (!error && context_->refuse_head)
+        if (auto refusal = context_->refuse_head(parser.get()))
+            co_return co_await refuse(parser, std::move(*refusal));
+    if (!error)
+        error = co_await receive_body(parser);
     expires_at_ = never;
     if (error)
     {
@@ -131,14 +136,29 @@
     co_return keep_alive_;
 }
 
-asio::awaitable<error_code> caller_session::receive(parser_type& parser)
+asio::awaitable<error_code> caller_session::receive_head(parser_type& parser)
 {
     error_code error;
     co_await http::async_read_header(socket_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
-    if (error)
-        co_return error;
+    co_return error;
+}
+
+asio::awaitable<bool> caller_session::refuse(parser_type const& parser,
+                                             caller_answer answer)
+{
+    version_ = parser.get().version();
+    keep_alive_ = parser.is_done() && parser.get().keep_alive() && !context_->stopping;
+    auto const failed = co_await send(std::move(answer));
+    expires_at_ = never;
+    if (!failed && !parser.is_done())
+        co_await discard_input();
+    co_return keep_alive_;
+}
 
+asio::awaitable<error_code> caller_session::receive_body(parser_type& parser)
+{
+    error_code error;
     auto const expectation = parser.get()[http::field::expect];
     if (boost::beast::iequals(expectation, "100-continue"))
     {
--- a/serving/caller/caller_session.hpp
+++ b/serving/caller/caller_session.hpp
@@ -105,8 +105,15 @@
     // Reads and answers one request; false if the connection is to be closed
     boost::asio::awaitable<bool> serve_request();
 
-    // Reads a request
-    boost::asio::awaitable<boost::system::error_code> receive(parser_type& parser);
+    // Reads the head of a request
+    boost::asio::awaitable<boost::system::error_code> receive_head(parser_type& parser);
+
+    // Reads the rest of a request
+    boost::asio::awaitable<boost::system::error_code> receive_body(parser_type& parser);
+
+    // Answers a request that is refused by its head; false if the connection is to be
+    // closed, as the rest of the request would have to be read
+    boost::asio::awaitable<bool> refuse(parser_type const& parser, caller_answer answer);
 
     // Answers a request that could not be parsed
     boost::asio::awaitable<void> reject(boost::system::error_code error);
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/dispatch/dispatcher.hpp>
 #include <marjorampath/dispatch/retry_budget.hpp>
 #include <marjorampath/dispatch/run_times.hpp>
+#include <marjorampath/freshness/configuration_freshness.hpp>
 #include <marjorampath/peer/peer_heartbeat.hpp>
 #include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
 #include <marjorampath/reachability/reach_monitor.hpp>
@@ -88,6 +89,8 @@
     entry_times times;
     /// Routes in force; null before the first configuration.
     std::shared_ptr<route_table const> routes;
+    /// When the configuration was certainly the operator's newest one.
+    configuration_freshness freshness;
     /// Chooses endpoints for requests.
     dispatcher dispatch;
     /// Idle connections to endpoints.
--- a/serving/entry/entry_dialect.hpp
+++ b/serving/entry/entry_dialect.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/deployment/endpoint_announcement.hpp>
 #include <marjorampath/dispatch/attempt_end.hpp>
+#include <marjorampath/organisation/access_key.hpp>
 #include <serving/caller/caller_request.hpp>
 #include <serving/caller/caller_session.hpp>
 #include <serving/caller/error_reply.hpp>
@@ -38,6 +39,14 @@
     {
         Dialect::caller_attempt_id(message)
         } -> std::same_as<std::string>;
+    // The route of a request, or null
+    {
+        Dialect::find_route(message, *routes)
+        } -> std::same_as<route const*>;
+    // The key by which the caller proves its organisation
+    {
+        Dialect::caller_key(message)
+        } -> std::same_as<access_key>;
     // The request as sent to an endpoint
     {
         Dialect::endpoint_message(message, endpoint, options)
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <marjorampath/dispatch/event_splitter.hpp>
+#include <marjorampath/organisation/access_decision.hpp>
+#include <marjorampath/organisation/organisation.hpp>
 #include <serving/caller/caller_session.hpp>
 #include <serving/caller/exchange_control.hpp>
 #include <serving/clock/boot_time.hpp>
@@ -98,6 +100,11 @@
 
     // Whether the request can be expected to end before the host ends those that run
     [[nodiscard]] bool fits_before_shutdown() const;
+    // Decides by the configuration in force whether the request may run, and for which
+    // organisation; `none` if it may
+    error_kind check_access();
+    // Whether an error is one of `check_access`
+    static bool is_access_error(error_kind kind) noexcept;
     // Gets one decision of the dispatcher and executes it
     boost::asio::awaitable<void> step();
     // Refuses the request if its content or a part of its prompt crashed endpoints; true
@@ -307,6 +314,7 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_exchange.inl>
+#include <serving/entry/entry_exchange_access.inl>
 #include <serving/entry/entry_exchange_answer.inl>
 #include <serving/entry/entry_exchange_crashes.inl>
 #include <serving/entry/entry_exchange_forward.inl>
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -14,6 +14,8 @@
         co_return;
     }
     request_ = std::move(std::get<entry_request>(read));
+    if (auto const refusal = check_access(); refusal != error_kind::none)
+        co_return co_await reject(refusal, context_->times.retry_pause);
     if (!fits_before_shutdown())
         co_return co_await reject(error_kind::shutting_down,
                                   context_->times.shutdown_retry_pause);
@@ -62,6 +64,9 @@
     }
     if (co_await refuse_convicted())
         co_return;
+    if (auto const refusal = check_access();
+        refusal != error_kind::none && !head_sent_)
+        co_return co_await conclude_failed(refusal, context_->times.retry_pause);
     if (begun_by_peer_ || context_->reach.is_cut(request_.dispatch_call.service))
     {
         if (auto const peer = choose_peer())
@@ -322,6 +327,13 @@
     if (!connected)
         co_return attempt_end::unreachable;
 
+    // Time has passed since the decision. A stream that has begun goes on
+    if (auto const refusal = check_access();
+        refusal != error_kind::none && !head_sent_)
+    {
+        control_->abort(refusal);
+        co_return attempt_end::cancelled;
+    }
     auto const& dispatch_call = request_.dispatch_call;
     ++sends_;
     auto const sent = Dialect::endpoint_message(
@@ -329,7 +341,8 @@
         {.time_left = dispatch_call.deadline - boot_now(),
          .version = context_->dispatch.required_version(dispatch_call.adapter),
          .last_event = events_.last_id().value_or(0),
-         .priority = dispatch_call.priority});
+         .priority = dispatch_call.priority,
+         .organisation = request_.organisation});
     if (has_other_endpoint())
         start_attempt_timeout(std::max(
             context_->times.min_attempt_timeout,
@@ -388,7 +401,7 @@
         concluded_ = true;
         break;
     case attempt_end::cancelled:
-        if (sends_ > 0)
+        if (sends_ > 0 && !is_access_error(control_->reason()))
             ++possible_runs_;
         co_await conclude_aborted();
         break;
@@ -481,6 +494,8 @@
     control_->finish();
     if (reason == error_kind::shutting_down)
         co_await conclude_failed(reason, context_->times.shutdown_retry_pause);
+    else if (is_access_error(reason))
+        co_await conclude_failed(reason, context_->times.retry_pause);
     else
         co_await conclude_failed(
             possible_runs_ > 0 ? reason : error_kind::deadline_unreachable, {});
--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -241,6 +241,21 @@
     events_.on_stream_origin_reply(reply);
 }
 
+void entry_fleet::handle(freshness_query const& query)
+{
+    send(events_.on_freshness_query(query), sender());
+}
+
+void entry_fleet::handle(freshness_reply const& reply)
+{
+    events_.on_freshness_reply(reply);
+}
+
+void entry_fleet::query_freshness(freshness_query const& query, host_id from)
+{
+    send(query, from);
+}
+
 void entry_fleet::report_stream_origin(stream_origin const& origin, host_id to)
 {
     send(origin, to);
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -70,6 +70,10 @@
     std::function<stream_origin_reply(stream_origin_query const&)> on_stream_origin_query;
     /// Handles the reply to such a question of this host.
     std::function<void(stream_origin_reply const&)> on_stream_origin_reply;
+    /// Answers another host's query for the freshness of this host's configuration.
+    std::function<freshness_reply(freshness_query const&)> on_freshness_query;
+    /// Handles the reply to such a query of this host.
+    std::function<void(freshness_reply const&)> on_freshness_reply;
     /// This host gained an engine's lease, or must use this higher fencing number for it.
     /// The flag is true if no other host has held the lease since this host last did.
     std::function<void(endpoint_id, std::uint64_t, bool)> on_acquired;
@@ -117,6 +121,10 @@
     /// `on_stream_origin_reply`, or never if a datagram is lost.
     void query_stream_origin(stream_origin_query const& query, host_id from);
 
+    /// Asks another host for the freshness of its configuration. The reply arrives
+    /// through `on_freshness_reply`, or never if a datagram is lost.
+    void query_freshness(freshness_query const& query, host_id from);
+
     /// Sends a heartbeat now instead of at the next interval, as after a change of the
     /// configuration: to every host, or in a large fleet to those of this zone, as each
     /// zone has hosts that read the configuration themselves.
@@ -187,6 +195,8 @@
     void handle(stream_origin const& origin);
     void handle(stream_origin_query const& query);
     void handle(stream_origin_reply const& reply);
+    void handle(freshness_query const& query);
+    void handle(freshness_reply const& reply);
     // Runs the lease state machines and sends heartbeats when they are due
     void tick();
 
--- a/serving/entry/entry_metrics.hpp
+++ b/serving/entry/entry_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include <serving/telemetry/metrics.hpp>
 
+#include <cstddef>
 #include <string_view>
 
 namespace marjorampath::serving
@@ -14,6 +15,21 @@
 inline constexpr metric answers_metric{
     .name = "marjorampath_answers_total",
     .help = "Requests by answer: of an endpoint, or the kind of error."};
+/// Requests to deployments with organisations by whether they may run.
+inline constexpr metric access_metric{
+    .name = "marjorampath_access_total",
+    .help = "Requests by what their caller's key said; without organisations none."};
+/// Requests that may run by the caller's organisation.
+inline constexpr metric organisations_metric{
+    .name = "marjorampath_organisation_requests_total",
+    .help = "Authorised requests by organisation; those beyond the first as `other`."};
+/// Age of the proof that the configuration is the newest one.
+inline constexpr metric configuration_age_metric{
+    .name = "marjorampath_configuration_age_seconds",
+    .help = "Time since the configuration was certainly the operator's newest one.",
+    .kind = metric_kind::gauge};
+/// Most organisations that `organisations_metric` names.
+inline constexpr std::size_t max_organisation_labels = 64;
 /// Attempts at endpoints by how they ended.
 inline constexpr metric attempts_metric{.name = "marjorampath_attempts_total",
                                         .help = "Sends to endpoints by their end."};
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -3,6 +3,8 @@
 #include <marjorampath/adapter_load/load_planner.hpp>
 #include <marjorampath/deployment/endpoint_catalog.hpp>
 #include <marjorampath/deployment/software_history.hpp>
+#include <marjorampath/freshness/freshness_peer.hpp>
+#include <marjorampath/organisation/access_decision.hpp>
 #include <marjorampath/peer/forward_choice.hpp>
 #include <marjorampath/peer/relay_choice.hpp>
 #include <marjorampath/peer/relay_failures.hpp>
@@ -23,6 +25,7 @@
 #include <serving/entry/relay_text.hpp>
 #include <serving/node/signal_mask.hpp>
 #include <serving/remote/remote_error.hpp>
+#include <serving/telemetry/bounded_labels.hpp>
 #include <serving/telemetry/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -60,6 +63,8 @@
     /// after this time, which must be well below the time within which a configuration
     /// must be in force.
     std::chrono::milliseconds watch_wait{1'000};
+    /// The same of a watch that only confirms the configuration.
+    std::chrono::milliseconds confirming_watch_wait{50};
     /// Pause after a failed read of the store; also the interval and the timeout of reads
     /// from peers.
     duration read_pause = std::chrono::milliseconds(300);
@@ -205,6 +210,18 @@
     [[nodiscard]] caller_limits forward_limits() const;
     // Makes the handler of requests, of callers or passed on by other hosts
     auto make_handler(bool forwarded);
+    // Refuses a request whose caller may not send it, before its body is read
+    std::optional<caller_answer> refuse_head(caller_message const& message);
+    // Whether keys are refused once this host cannot confirm its configuration
+    [[nodiscard]] bool confirms_configuration() const;
+    // Time since the configuration was certainly current; -1 if it never was
+    [[nodiscard]] std::int64_t configuration_age_ms(time_point now) const;
+    // Notes what a read of the operator's data from the store proves
+    void note_operator_read(operator_update const& update, time_point requested_at);
+    // Asks another host for a newer proof if that is due, and logs whether there is one
+    void confirm_configuration(time_point now);
+    // Logs what was left out of a configuration's organisations
+    void log_organisation_problems(deployment const& configuration);
     // Makes the settings and callbacks of the fleet membership
     entry_fleet_options make_fleet_options() const;
     entry_fleet_events make_fleet_events();
@@ -498,6 +515,12 @@
     duration old_listing_age_{0};
     // Whether the last listing of the store succeeded
     bool store_reachable_ = true;
+    // Whether the configuration was confirmed at the last run of the periodic tasks
+    bool was_confirmed_ = true;
+    // Organisations that metrics name
+    bounded_labels organisation_labels_{max_organisation_labels};
+    // Makes hashes of keys unpredictable for callers
+    std::uint64_t const key_seed_ = std::random_device()();
     // Result of the last readiness probe
     bool was_ready_ = false;
     // Chooses the endpoints that are probed
@@ -515,6 +538,7 @@
 } // namespace marjorampath::serving
 
 #include <serving/entry/entry_node.inl>
+#include <serving/entry/entry_node_access.inl>
 #include <serving/entry/entry_node_crashes.inl>
 #include <serving/entry/entry_node_fleet.inl>
 #include <serving/entry/entry_node_limits.inl>
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -14,7 +14,9 @@
           { return answer_service(session, message); }},
       forward_context_{.loop = loop_,
                        .limits = forward_limits(),
-                       .handle_request = make_handler(true)},
+                       .handle_request = make_handler(true),
+                       .refuse_head = [this](caller_message const& message)
+                       { return refuse_head(message); }},
       callers_(context_.callers), forwards_(forward_context_),
       readiness_(service_context_), relay_(service_context_),
       metrics_listener_(service_context_),
@@ -66,9 +68,14 @@
         .callers = {.loop = loop_,
                     .limits = {.max_connections = connections},
                     .handle_request = make_handler(false),
+                    .refuse_head = [this](caller_message const& message)
+                    { return refuse_head(message); },
                     .request_seed = seed},
         .times = {},
         .routes = nullptr,
+        .freshness =
+            configuration_freshness({.revocation_bound = settings_.revocation_bound,
+                                     .margin = settings_.revocation_margin}),
         .dispatch = dispatcher(zone_id::of(settings_.zone), {.seed = seed}),
         .connections =
             connection_pool(loop_.get_executor(),
@@ -220,7 +227,8 @@
 template <entry_platform Platform>
 bool entry_node<Platform>::ready() const
 {
-    return !stopping_ && context_.routes && !context_.dispatch.empty();
+    return !stopping_ && context_.routes && !context_.dispatch.empty() &&
+           (!confirms_configuration() || context_.freshness.is_confirmed(boot_now()));
 }
 
 template <entry_platform Platform>
@@ -268,6 +276,7 @@
     context_.lost.expire(context_.suspects, now);
     context_.parts.forget_old(now);
     log_listing_age(now);
+    confirm_configuration(now);
     for (auto const service : context_.reach.due_probes(now))
         probe_service(service);
     if (now >= next_reports_at_)
--- a/serving/entry/entry_node_fleet.inl
+++ b/serving/entry/entry_node_fleet.inl
@@ -56,6 +56,10 @@
         { return on_stream_origin_query(query); },
         .on_stream_origin_reply = [this](stream_origin_reply const& reply)
         { on_stream_origin_reply(reply); },
+        .on_freshness_query = [this](freshness_query const& query)
+        { return context_.freshness.reply_to(query, boot_now()); },
+        .on_freshness_reply = [this](freshness_reply const& reply)
+        { context_.freshness.on_reply(reply); },
         .on_acquired = [this](endpoint_id engine, std::uint64_t number, bool continued)
         { planner_.on_lease(engine, number, continued, boot_now()); },
         .on_lost = [this](endpoint_id engine) { planner_.on_lease_lost(engine); }};
@@ -71,6 +75,8 @@
     heartbeat.listing_position = catalog_.position();
     heartbeat.listing_age =
         catalog_.listed_at() ? now - *catalog_.listed_at() : duration{0};
+    if (confirms_configuration())
+        heartbeat.configuration_age = context_.freshness.age(now);
     heartbeat.loads_in_transit = planner_.loads_in_transit(now);
     heartbeat.engines = planner_.statuses(now);
     heartbeat.convictions = context_.suspects.convictions(now);
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -39,8 +39,10 @@
         fallback_.on_listing_read(!failed, listing_age(requested_at), boot_now());
         if (fallback_.wants_operator(boot_now()))
             watch_timer_.cancel();
-        if (!failed)
-            apply_listing(std::move(listing), "store");
+        if (failed)
+            continue;
+        context_.freshness.on_store_position(listing.position, requested_at);
+        apply_listing(std::move(listing), "store");
     }
 }
 
@@ -60,7 +62,8 @@
 bool entry_node<Platform>::reads_operator_from_store(time_point now) const
 {
     return !context_.routes || fleet_.peers().is_reader(now) ||
-           fallback_.wants_operator(now);
+           fallback_.wants_operator(now) ||
+           (confirms_configuration() && context_.freshness.needs_store(now));
 }
 
 template <entry_platform Platform>
@@ -89,15 +92,22 @@
         auto const before = source_.operator_complete();
         auto const after = last_watch_failed_ ? store_position{} : before;
         operator_update update;
+        auto const only_confirms = context_.routes &&
+                                   !fleet_.peers().is_reader(requested_at) &&
+                                   !fallback_.wants_operator(requested_at);
+        auto const wait =
+            only_confirms ? times_.confirming_watch_wait : times_.watch_wait;
+        context_.freshness.on_store_asked(requested_at);
         if (after == store_position{})
             update = co_await source_.read_operator();
         else
-            update = co_await source_.watch_operator(after, times_.watch_wait);
+            update = co_await source_.watch_operator(after, wait);
         if (finished_)
             break;
         fallback_.on_operator_read(!update.error, boot_now());
         // What arrived before a failure counts as handed over
         apply_operator_update(update, before, "store");
+        note_operator_read(update, requested_at);
         // After any failure the store may no longer have the changes since this revision,
         // so everything is read again
         last_watch_failed_ = static_cast<bool>(update.error);
@@ -160,7 +170,9 @@
         return;
     log_event(event::deployment_accepted, "version", configuration->version, "routes",
               configuration->routes.size(), "source", source);
-    context_.routes = std::make_shared<route_table const>(configuration);
+    context_.routes = std::make_shared<route_table const>(configuration, key_seed_);
+    context_.freshness.on_configuration(configuration->version);
+    log_organisation_problems(*configuration);
     context_.dispatch.set_services(configuration->services);
     planner_.set_services(configuration->services);
     auto& limits = context_.callers.limits;
--- a/serving/entry/entry_request.hpp
+++ b/serving/entry/entry_request.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace marjorampath::serving
@@ -21,6 +22,9 @@
     std::shared_ptr<route_table const> routes;
     /// The matched route, owned by `routes`.
     route const* matched_route = nullptr;
+    /// Name of the caller's organisation, empty on an open route; unset in deployments
+    /// without organisations.
+    std::optional<std::string> organisation;
     /// Identifier of the last event of a stream that the caller has; zero for none.
     std::uint64_t last_event = 0;
     /// Identifier of the caller's attempt that received the first event of that stream;
@@ -39,6 +43,9 @@
     std::uint64_t last_event = 0;
     /// Priority at the endpoint; zero is the most urgent.
     std::uint32_t priority = 0;
+    /// Name of the caller's organisation, empty for none. If set, the endpoint gets it
+    /// instead of what the caller sent, and not the caller's key.
+    std::optional<std::string> organisation;
 };
 
 /// The request rate that the head of an endpoint's answer names.
--- a/serving/entry/entry_settings.cpp
+++ b/serving/entry/entry_settings.cpp
@@ -108,6 +108,13 @@
     return problem;
 }
 
+std::string parse_revocation_bound(YAML::Node const& node, entry_settings& settings)
+{
+    auto const milliseconds = node.as<std::int64_t>();
+    settings.revocation_bound = std::chrono::milliseconds(milliseconds);
+    return milliseconds <= 0 ? "is not a positive time" : "";
+}
+
 std::string parse_outgoing(YAML::Node const& node, entry_settings& settings)
 {
     boost::system::error_code error;
@@ -156,6 +163,8 @@
         {"retry_ratio", number_field<double>(&settings::retry_ratio, 0)},
         {"retry_window_s", time_field<seconds>(&settings::retry_window)},
         {"retry_extra", number_field<double>(&settings::retry_extra, 0)},
+        {"revocation_ms", {false, parse_revocation_bound}},
+        {"revocation_margin_ms", time_field<milliseconds>(&settings::revocation_margin)},
         {"descriptors", number_field<std::uint32_t>(&settings::descriptors, 64)},
         {"log_lines_per_second",
          number_field<std::uint32_t>(&settings::log_lines_per_second, 1)},
--- a/serving/entry/entry_settings.hpp
+++ b/serving/entry/entry_settings.hpp
@@ -54,6 +54,12 @@
     duration retry_window = std::chrono::seconds(10);
     /// Retries allowed in a window in addition to those of the ratio, over all hosts.
     double retry_extra = 50;
+    /// Time behind the operator's change within which every host must refuse a revoked
+    /// key, also a host that is cut off; empty if only hosts in touch must.
+    std::optional<duration> revocation_bound;
+    /// Taken off that bound: longest time from a check of a key until the request is
+    /// sent.
+    duration revocation_margin = std::chrono::milliseconds(300);
     /// Number of file descriptors for the connections of callers and to endpoints.
     std::uint32_t descriptors = 1'024;
     /// Largest number of log lines of one event per second.
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -93,6 +93,11 @@
     {
         source.operator_complete()
         } -> std::same_as<store_position>;
+    // The operator's version of the configuration that the store has; empty if it is
+    // unknown or not the newest one that this host has
+    {
+        source.stored_configuration()
+        } -> std::same_as<std::optional<std::uint64_t>>;
     // Number of the operator's items whose values are newer than those of the store
     {
         source.operator_kept()
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -1,4 +1,5 @@
 #include <schema/peer.capnp.h>
+#include <serving/entry/freshness_codec.hpp>
 #include <serving/entry/peer_codec.hpp>
 #include <serving/entry/stream_origin_codec.hpp>
 #include <serving/link/codec.hpp>
@@ -256,6 +257,7 @@
     wire.setSequence(value.sequence);
     wire.setToPassOn(value.to_pass_on);
     encode_list(value.relayed, wire.initRelayed(wire_size(value.relayed)));
+    wire.setConfigurationAge(encode_known_age(value.configuration_age));
 }
 
 void decode(PeerBeat::Reader wire, peer_heartbeat& value)
@@ -285,6 +287,7 @@
     value.sequence = wire.getSequence();
     value.to_pass_on = wire.getToPassOn();
     decode_list(wire.getRelayed(), value.relayed);
+    value.configuration_age = decode_known_age(wire.getConfigurationAge());
 }
 
 void encode(load_request const& value, LoadRequest::Builder wire)
@@ -393,6 +396,14 @@
     {
         encode(value, wire.initStreamOriginReply());
     }
+    void operator()(freshness_query const& value)
+    {
+        encode(value, wire.initFreshnessQuery());
+    }
+    void operator()(freshness_reply const& value)
+    {
+        encode(value, wire.initFreshnessReply());
+    }
 };
 
 template <class Message, class Reader>
@@ -435,6 +446,10 @@
         return decoded<stream_origin_query>(wire.getStreamOriginQuery());
     case PeerMessage::STREAM_ORIGIN_REPLY:
         return decoded<stream_origin_reply>(wire.getStreamOriginReply());
+    case PeerMessage::FRESHNESS_QUERY:
+        return decoded<freshness_query>(wire.getFreshnessQuery());
+    case PeerMessage::FRESHNESS_REPLY:
+        return decoded<freshness_reply>(wire.getFreshnessReply());
     }
     KJ_FAIL_REQUIRE("unknown message");
 }
--- a/serving/entry/peer_codec.hpp
+++ b/serving/entry/peer_codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <marjorampath/freshness/freshness_messages.hpp>
 #include <marjorampath/lease/lease_release.hpp>
 #include <marjorampath/lease/lease_reply.hpp>
 #include <marjorampath/lease/lease_request.hpp>
@@ -23,7 +24,7 @@
     std::variant<peer_heartbeat, lease_request, lease_reply, lease_release, load_request,
                  load_reply, usage_report, engine_status, permit_request, permit_reply,
                  rate_limit_notice, stream_origin, stream_origin_query,
-                 stream_origin_reply>;
+                 stream_origin_reply, freshness_query, freshness_reply>;
 
 /// Encodes a message as one datagram: a Cap'n Proto message in packed form.
 std::string encode_peer_message(peer_message const& message);
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -110,6 +110,16 @@
                 "The store was restored from a copy. Of `known` endpoints, `kept` are "
                 "missing in it, or listed with an older entry, and stay as they were "
                 "until they have written again; endpoints that were gone stay gone."},
+    event_entry{
+        configuration_unconfirmed, warning, "configuration_unconfirmed",
+        "Neither the store nor another host has confirmed the configuration for "
+        "`age_ms`, so that revoked keys may be unknown here. Requests with keys are "
+        "refused as not run, and the node is not ready, until one does."},
+    event_entry{configuration_confirmed, info, "configuration_confirmed",
+                "The configuration is confirmed again; requests with keys are served."},
+    event_entry{organisation_ignored, warning, "organisation_ignored",
+                "An organisation of the configuration, or the key with this digest, is "
+                "not in force; its callers are refused. Correct the configuration."},
 
     event_entry{link_opened, info, "link_opened", "A connection to a host was opened."},
     event_entry{link_lost, warning, "link_lost",
@@ -244,6 +254,10 @@
     event_entry{answer_limit_exceeded, warning, "answer_limit_exceeded",
                 "An endpoint's answer was given up because a part of it exceeds its "
                 "limit, as for requests; `attempt_ended` names the endpoint."},
+    event_entry{access_refused, info, "access_refused",
+                "A request was refused by its caller's key before its body was read: the "
+                "key is missing, unknown or malformed, or the configuration is "
+                "unconfirmed. Equal digests are equal keys."},
     event_entry{request_suspected, warning, "request_suspected",
                 "A request was in flight when its endpoint crashed; it is rerun in "
                 "isolation."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -52,6 +52,9 @@
     listing_renewed = 222,
     operator_history_changed = 223,
     listing_history_changed = 224,
+    configuration_unconfirmed = 225,
+    configuration_confirmed = 226,
+    organisation_ignored = 227,
 
     link_opened = 300,
     link_lost = 301,
@@ -106,6 +109,7 @@
     request_forwarded = 608,
     request_limit_exceeded = 609,
     answer_limit_exceeded = 610,
+    access_refused = 611,
     request_suspected = 620,
     request_convicted = 621,
     conviction_expired = 622,
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -66,6 +66,8 @@
 
     // Requests received
     std::vector<caller_message> requests;
+    // Called when one was received, before it is answered
+    std::function<void()> on_request;
     // Connections that the other side closed while the server was silent
     int abandoned = 0;
 
@@ -91,6 +93,8 @@
             if (error)
                 co_return;
             requests.push_back(request);
+            if (on_request)
+                on_request();
             auto const answer = answers_.front();
             answers_.pop_front();
             auto const text = std::exchange(late, answer.late) + answer.text;
@@ -355,6 +359,7 @@
                     }},
         .times = {},
         .routes = nullptr,
+        .freshness = configuration_freshness({}),
         .dispatch = dispatcher(zone_id::of("z"), {}),
         .connections = connection_pool(loop.get_executor(), {}),
         .budgets = {},
