--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -94,6 +94,14 @@
                      "--nodes 16 --callers 1");
 }
 
+// Nodes that were cut off or paused went on with keys that had been revoked
+BOOST_AUTO_TEST_CASE(no_key_runs_later_than_the_bound_behind_its_revocation)
+{
+    constexpr unsigned seed = 9001;
+    check_soak(seed, "--seconds 10 --limits 0 --gap 4000 --cuts 0 --crashing-callers 0 "
+                     "--large-changes 0 --revocations 3");
+}
+
 // Nodes ignored what was written to a restored store: configurations, and endpoints that
 // left
 BOOST_AUTO_TEST_CASE(a_store_that_returns_from_a_copy_keeps_all_promises)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -77,6 +77,9 @@
     TCLAP::ValueArg<int> restores("", "restores",
                                   "Restorations of the store from an older copy", false,
                                   0, "number", command);
+    TCLAP::ValueArg<int> revocations("", "revocations",
+                                     "Revocations of keys beside cuts and pauses", false,
+                                     0, "number", command);
     TCLAP::ValueArg<std::size_t> added_routes("", "added-routes",
                                               "Routes that a large change adds", false,
                                               1'400, "number", command);
@@ -101,7 +104,8 @@
                          .limits = limits.getValue(),
                          .cuts = cuts.getValue(),
                          .large_changes = large_changes.getValue(),
-                         .restores = restores.getValue()},
+                         .restores = restores.getValue(),
+                         .revocations = revocations.getValue()},
             .fleet = {.nodes = nodes.getValue(),
                       .engines = engines.getValue(),
                       .link_rate = link_rate.getValue()},
--- a/tests/soak/soak_check.hpp
+++ b/tests/soak/soak_check.hpp
@@ -30,6 +30,16 @@
     std::int64_t at_ms = 0;
 };
 
+/// A key that the operator revoked.
+struct revoked_key
+{
+    /// Organisation whose only key it was.
+    std::string organisation;
+    /// When the store accepted the revocation, in milliseconds of the host's monotonic
+    /// clock.
+    std::int64_t at_ms = 0;
+};
+
 /// A time in which faults may delay what a node sends or receives.
 struct disrupted_node
 {
@@ -70,6 +80,8 @@
     std::int64_t shutdown_ms = 0;
     /// Endpoints that announced that they leave.
     std::vector<announced_leave> leaves;
+    /// Keys that were revoked.
+    std::vector<revoked_key> revocations;
 };
 
 /// Whether faults disrupted a node, or its link to an endpoint, within `slack_ms` before
--- a/tests/soak/soak_fault.cpp
+++ b/tests/soak/soak_fault.cpp
@@ -16,7 +16,7 @@
 // Largest target number; above any count, since targets are taken modulo their count
 constexpr std::size_t max_target = 5'040;
 
-constexpr std::array<std::string_view, 21> names{
+constexpr std::array<std::string_view, 22> names{
     "link_delay",         "link_reset",
     "link_silence",       "link_cut_to_target",
     "link_cut_to_caller", "endpoint_pause",
@@ -27,7 +27,7 @@
     "version_change",     "endpoint_limit",
     "node_cut_hang",      "node_cut_reset",
     "node_cut_refuse",    "large_change",
-    "store_restore"};
+    "store_restore",      "key_revocation"};
 
 // Kinds that are drawn at random times, the first ones of `names`
 constexpr int drawn_kinds = 15;
@@ -103,6 +103,11 @@
              .target = static_cast<std::size_t>(draw(0, max_target))});
         restore_at += restore_duration;
     }
+    for (int revocation = 0; revocation < options.revocations; ++revocation)
+        schedule.push_back({.kind = fault_kind::key_revocation,
+                            .at = std::chrono::milliseconds(draw(0, last_limit_ms)),
+                            .duration = revocation_duration,
+                            .target = static_cast<std::size_t>(draw(0, max_target))});
     return schedule;
 }
 
--- a/tests/soak/soak_fault.hpp
+++ b/tests/soak/soak_fault.hpp
@@ -57,7 +57,10 @@
     large_change,
     /// The store is away for a moment and is restored from an older copy; the operator
     /// writes again what was lost, later a new configuration, and an endpoint leaves.
-    store_restore
+    store_restore,
+    /// A node is cut from the store, another one is paused, and the operator revokes a
+    /// key.
+    key_revocation
 };
 
 /// Name of a fault kind.
@@ -97,6 +100,10 @@
 /// hold, and the time within which a configuration must be in force.
 inline constexpr std::chrono::milliseconds restore_duration{16'000};
 
+/// Duration of a cut in which a key is revoked: beyond the time within which every node
+/// must refuse the key.
+inline constexpr std::chrono::milliseconds revocation_duration{9'000};
+
 /// Parameters of a random schedule.
 struct schedule_options
 {
@@ -114,6 +121,8 @@
     int large_changes = 1;
     /// Number of restorations of the store from a copy.
     int restores = 0;
+    /// Number of revocations of keys; with any, callers send keys.
+    int revocations = 0;
     /// Longest duration of a fault.
     std::chrono::milliseconds max_duration{3'000};
 };
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -46,6 +46,16 @@
 
 } // namespace
 
+std::string leaving_organisation(std::size_t index)
+{
+    return fmt::format("leaving-{}", index);
+}
+
+std::string key_of(std::string_view organisation)
+{
+    return fmt::format("{}-key", organisation);
+}
+
 soak_fleet::soak_fleet(asio::io_context& context, options const& values)
     : context_(context), options_(values)
 {
@@ -99,12 +109,13 @@
             "host: \"node-{}\"\nzone: \"{}\"\ncallers: \"{}\"\n"
             "readiness: \"{}\"\nreadiness_path: \"{}\"\nrelay: \"{}\"\n"
             "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
-            "outgoing: \"{}\"\ngrace_s: 8\n",
+            "outgoing: \"{}\"\ngrace_s: 8\n{}",
             index, zones.at(index % zones.size()), format_address(callers_[index]),
             format_address(nodes[index].readiness), readiness_path, relays_[index],
             peers_[index], fmt::join(seeds_, "\", \""),
             format_address(nodes[index].store->address()),
-            callers_[index].address().to_string());
+            callers_[index].address().to_string(),
+            options_.revocations > 0 ? "revocation_ms: 5000\n" : "");
 }
 
 std::string soak_fleet::endpoint_name(std::size_t index) const
@@ -222,12 +233,38 @@
 std::uint64_t soak_fleet::publish_configuration(std::size_t added_routes)
 {
     added_routes_ += added_routes;
+    ++configuration_;
     put(std::string(platform::configuration_key),
-        platform::configuration_document(
-            {.version = ++configuration_, .added_routes = added_routes_}));
+        platform::configuration_document(deployment()));
     return configuration_;
 }
 
+platform::standin_deployment soak_fleet::deployment() const
+{
+    platform::standin_deployment published{.version = configuration_,
+                                           .added_routes = added_routes_};
+    if (options_.revocations == 0)
+        return published;
+    published.organisations = {
+        {.name = std::string(staying_organisation), .key = key_of(staying_organisation)}};
+    for (std::size_t index = 0; index < options_.revocations; ++index)
+    {
+        auto const name = leaving_organisation(index);
+        published.organisations->push_back(
+            {.name = name, .key = index < revoked_ ? "" : key_of(name)});
+    }
+    return published;
+}
+
+std::string soak_fleet::revoke_key()
+{
+    if (revoked_ >= options_.revocations)
+        return {};
+    auto organisation = leaving_organisation(revoked_++);
+    publish_configuration();
+    return organisation;
+}
+
 bool soak_fleet::has_added_routes(std::size_t index) const
 {
     constexpr unsigned not_found = 404;
@@ -266,13 +303,12 @@
 
 void soak_fleet::rewrite_operator_data() const
 {
+    auto const published = deployment();
     put(std::string(platform::configuration_key),
-        platform::configuration_document(
-            {.version = configuration_, .added_routes = added_routes_}));
-    platform::standin_deployment const deployment;
+        platform::configuration_document(published));
     for (auto const& [adapter, version] : versions_)
-        put(platform::version_key(deployment.model_service, adapter),
-            platform::version_document(deployment.model_service, adapter, version));
+        put(platform::version_key(published.model_service, adapter),
+            platform::version_document(published.model_service, adapter, version));
 }
 
 bool soak_fleet::is_ready(std::size_t index) const
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <platform/standin/operator_documents.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,14 @@
 namespace marjorampath::test
 {
 
+/// Name of an organisation whose key is revoked in a soak; its key is the name with a
+/// suffix.
+std::string leaving_organisation(std::size_t index);
+/// Name of the organisation whose key is never revoked.
+inline constexpr std::string_view staying_organisation = "staying";
+/// Key of an organisation.
+std::string key_of(std::string_view organisation);
+
 /// Entry nodes, a store, engines and plain services as processes on loopback, with a
 /// fault proxy on each TCP link.
 class soak_fleet
@@ -36,6 +45,9 @@
         /// Bytes per second of the links between nodes and from the store to each node;
         /// zero for no limit.
         std::uint32_t link_rate = 0;
+        /// Number of organisations whose keys will be revoked, beside one whose key
+        /// stays; zero for a deployment without organisations.
+        std::size_t revocations = 0;
         /// Part of a prompt that crashes engines; empty for none.
         std::string crashing_part;
         /// Folder for settings, logs and records.
@@ -92,6 +104,9 @@
     /// Whether the configuration in force at a node has the routes that were added last.
     /// True if the node does not answer.
     [[nodiscard]] bool has_added_routes(std::size_t index) const;
+    /// Revokes the key of the next organisation; returns its name, or an empty one if
+    /// none is left.
+    std::string revoke_key();
     /// Makes the store hold each answer to a read back for a time.
     void delay_store(std::chrono::milliseconds delay) const;
 
@@ -125,6 +140,8 @@
     // Software version of an endpoint's current process
     [[nodiscard]] std::string software_version(std::size_t index) const;
     void write_settings() const;
+    // The deployment that the operator published last
+    [[nodiscard]] platform::standin_deployment deployment() const;
     // Writes an item to the store
     void put(std::string const& key, std::string const& value) const;
 
@@ -133,6 +150,8 @@
     std::uint64_t configuration_ = 0;
     // Routes of the configuration beyond the usual ones
     std::size_t added_routes_ = 0;
+    // Organisations whose keys are revoked
+    std::size_t revoked_ = 0;
     std::map<std::string, std::uint64_t> versions_;
     // Ports of all nodes: readiness, callers, relay, peers
     std::array<std::uint16_t, 4> ports_{};
--- a/tests/soak/soak_request.hpp
+++ b/tests/soak/soak_request.hpp
@@ -28,6 +28,8 @@
     soak_kind kind = soak_kind::safe;
     /// Index of the node that it was sent to.
     std::size_t node = 0;
+    /// Organisation of its caller; empty in a deployment without organisations.
+    std::string organisation;
     /// Adapter of a stream; empty for other kinds.
     std::string adapter;
     /// Attempt that received the first event of the stream; its own identifier unless it
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,4 +1,5 @@
 #include <tests/soak/cut_check.hpp>
+#include <tests/soak/key_check.hpp>
 #include <tests/soak/limit_check.hpp>
 #include <tests/soak/monotonic_time.hpp>
 #include <tests/soak/part_check.hpp>
@@ -53,6 +54,7 @@
     auto values = options.fleet;
     if (options.crashing_callers > 0)
         values.crashing_part = crashing_part;
+    values.revocations = static_cast<std::size_t>(options.schedule.revocations);
     return values;
 }
 
@@ -69,13 +71,15 @@
 soak_run::soak_run(soak_options const& options)
     : options_(options), work_(context_.get_executor()),
       thread_([this] { context_.run(); }), fleet_(context_, with_crashing_part(options_)),
-      traffic_(context_, {.nodes = caller_addresses(fleet_),
-                          .host = platform::standin_deployment().host,
-                          .model = platform::standin_deployment().model_service,
-                          .callers = options_.callers,
-                          .crashing_callers = options_.crashing_callers,
-                          .crashing_part = crashing_part,
-                          .seed = options_.schedule.seed})
+      traffic_(context_,
+               {.nodes = caller_addresses(fleet_),
+                .host = platform::standin_deployment().host,
+                .model = platform::standin_deployment().model_service,
+                .callers = options_.callers,
+                .crashing_callers = options_.crashing_callers,
+                .crashing_part = crashing_part,
+                .revocations = static_cast<std::size_t>(options_.schedule.revocations),
+                .seed = options_.schedule.seed})
 {
 }
 
@@ -127,6 +131,9 @@
         breaches_.push_back(std::move(breach));
     for (auto& breach : check_cuts(evidence_))
         breaches_.push_back(std::move(breach));
+    if (options_.schedule.revocations > 0)
+        for (auto& breach : check_keys(evidence_))
+            breaches_.push_back(std::move(breach));
     return breaches_;
 }
 
@@ -199,6 +206,8 @@
         return inject_large_change(fault);
     case fault_kind::store_restore:
         return inject_restore(fault);
+    case fault_kind::key_revocation:
+        return inject_revocation(fault);
     case fault_kind::node_pause:
     case fault_kind::node_kill:
     case fault_kind::node_stop:
@@ -324,6 +333,23 @@
                    });
 }
 
+void soak_run::inject_revocation(soak_fault const& fault)
+{
+    auto const index = fault.target % fleet_.nodes.size();
+    auto* link = fleet_.nodes[index].store.get();
+    note_store_fault(index, fault.duration);
+    link->set_state(link_state::silent);
+    schedule_after(fault.duration, [link] { link->set_state(link_state::open); });
+    inject_node_fault({.kind = fault_kind::node_pause,
+                       .duration = options_.schedule.max_duration,
+                       .target = fault.target + 1});
+    fleet_.store->signal(SIGCONT);
+    auto const organisation = fleet_.revoke_key();
+    if (!organisation.empty())
+        evidence_.revocations.push_back(
+            {.organisation = organisation, .at_ms = monotonic_ms()});
+}
+
 void soak_run::check_configuration(std::uint64_t version, std::int64_t published_ms)
 {
     auto const now = monotonic_ms();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -74,6 +74,7 @@
     void inject_cut(soak_fault const& fault);
     void inject_large_change(soak_fault const& fault);
     void inject_restore(soak_fault const& fault);
+    void inject_revocation(soak_fault const& fault);
     // Publishes a configuration with more routes and checks in time that it is in force
     void publish_checked(std::size_t added_routes);
     // Checks that all undisturbed nodes have the configuration that was published last
--- a/tests/soak/soak_traffic.cpp
+++ b/tests/soak/soak_traffic.cpp
@@ -1,4 +1,5 @@
 #include <tests/soak/monotonic_time.hpp>
+#include <tests/soak/soak_fleet.hpp>
 #include <tests/soak/soak_traffic.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -45,6 +46,8 @@
 // Bounds of the pause between two requests that crash engines
 constexpr int min_crash_pause_ms = 100;
 constexpr int max_crash_pause_ms = 500;
+// One in this number of requests has a key that is or will be revoked
+constexpr std::uint64_t organisation_turns = 4;
 // Parts of prompts that requests share besides the first one
 constexpr std::size_t shared_part_count = 3;
 
@@ -88,17 +91,29 @@
     // Favours low numbers, so that some adapters stay loaded and others are evicted
     boost::random::uniform_int_distribution<std::size_t> pick(0, options_.adapters - 1);
     auto const adapter = std::min(pick(random), pick(random));
-    return {.attempt = fmt::format("s{}-{}", options_.seed, ++next_attempt_),
+    auto const attempt = ++next_attempt_;
+    return {.attempt = fmt::format("s{}-{}", options_.seed, attempt),
             .kind = kind,
             .node = node,
+            .organisation = choose_organisation(attempt),
             .adapter = kind == soak_kind::stream ? fmt::format("a{}", adapter) : ""};
 }
 
+std::string soak_traffic::choose_organisation(std::uint64_t attempt) const
+{
+    if (options_.revocations == 0)
+        return {};
+    auto const drawn = attempt % (organisation_turns * options_.revocations);
+    return drawn < options_.revocations ? leaving_organisation(drawn)
+                                        : std::string(staying_organisation);
+}
+
 soak_request soak_traffic::continue_stream(soak_request const& broken)
 {
     return {.attempt = fmt::format("s{}-{}", options_.seed, ++next_attempt_),
             .kind = soak_kind::stream,
             .node = (broken.node + 1) % options_.nodes.size(),
+            .organisation = broken.organisation,
             .adapter = broken.adapter,
             .stream = broken.stream.empty() ? broken.attempt : broken.stream,
             .after_event = broken.last_event,
@@ -125,6 +140,11 @@
     result.set(http::field::host, options_.host);
     result.set(to_beast(wire::attempt_id), request.attempt);
     result.set(to_beast(wire::deadline), fmt::to_string(request_deadline.count()));
+    if (!request.organisation.empty())
+    {
+        result.set(to_beast(wire::access_key), key_of(request.organisation));
+        result.set(to_beast(wire::organisation), "forged");
+    }
     if (request.kind == soak_kind::stream)
     {
         result.set(to_beast(wire::model), options_.model + '/' + request.adapter);
--- a/tests/soak/soak_traffic.hpp
+++ b/tests/soak/soak_traffic.hpp
@@ -42,6 +42,8 @@
         std::size_t crashing_callers = 0;
         /// That part.
         std::string crashing_part;
+        /// Organisations whose keys are revoked meanwhile; zero if callers send no keys.
+        std::size_t revocations = 0;
         /// Seed of the callers' random choices.
         std::uint32_t seed = 1;
     };
@@ -82,6 +84,8 @@
     boost::asio::awaitable<void> exchange(std::optional<stream_type>& stream,
                                           soak_request& request);
     soak_request choose_request(std::size_t node, soak_kind kind, random_engine& random);
+    // The organisation of an attempt's caller; empty without organisations
+    [[nodiscard]] std::string choose_organisation(std::uint64_t attempt) const;
     // The request that continues a broken stream at another node
     soak_request continue_stream(soak_request const& broken);
     // Adds an ended request to the list
