Order requests of equal organisations by their routes' priority

Change: the organisation's priority goes first, the route's within it; engines tell ten priorities apart.

--- a/marjorampath/organisation/organisation.hpp
+++ b/marjorampath/organisation/organisation.hpp
@@ -35,7 +35,8 @@
     std::string name;
     /// Keys of its callers; it may have none.
     std::vector<std::string> keys;
-    /// Priority of its requests instead of that of their route; zero is the most urgent.
+    /// Priority of its requests, which goes before that of their route; zero is the most
+    /// urgent.
     std::optional<std::uint32_t> priority;
     organisation_quota quota;
 };
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -3,6 +3,7 @@
 #include <marjorampath/dispatch/event_splitter.hpp>
 #include <marjorampath/organisation/access_decision.hpp>
 #include <marjorampath/organisation/organisation.hpp>
+#include <marjorampath/organisation/request_priority.hpp>
 #include <serving/caller/caller_session.hpp>
 #include <serving/caller/exchange_control.hpp>
 #include <serving/clock/boot_time.hpp>
--- a/serving/entry/entry_exchange_access.inl
+++ b/serving/entry/entry_exchange_access.inl
@@ -12,9 +12,10 @@
     // A stream that has begun keeps its organisation
     if (!organisations || refusal != error_kind::none)
         return refusal;
-    request_.organisation = decision.caller ? decision.caller->name : std::string();
-    if (decision.caller && decision.caller->priority)
-        request_.dispatch_call.priority = *decision.caller->priority;
+    auto const* caller = decision.caller;
+    request_.organisation = caller ? caller->name : std::string();
+    request_.dispatch_call.priority = request_priority(
+        caller ? caller->priority : std::nullopt, request_.matched_route->priority);
     return error_kind::none;
 }
 
--- a/tests/unit/organisation/organisation_test.cpp
+++ b/tests/unit/organisation/organisation_test.cpp
@@ -1,5 +1,6 @@
 #include <marjorampath/organisation/access_decision.hpp>
 #include <marjorampath/organisation/organisation_directory.hpp>
+#include <marjorampath/organisation/request_priority.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -91,6 +92,19 @@
     BOOST_TEST(!decide_access(&directory, {.value = "key"}, true, true).caller);
 }
 
+// With the organisation's priority alone, endpoints served urgent and other routes of
+// equal organisations alike
+BOOST_AUTO_TEST_CASE(routes_order_the_requests_of_equal_organisations)
+{
+    BOOST_TEST(request_priority(0, 2) < request_priority(1, 0));
+    BOOST_TEST(request_priority(1, 0) < request_priority(1, 1));
+    BOOST_TEST(request_priority(1, 2) < request_priority(2, 0));
+    BOOST_TEST(request_priority(2, 7) < request_priority(3, 0));
+    BOOST_TEST(request_priority(3, 0) == request_priority(9, 5));
+    BOOST_TEST(request_priority(9, 9) == 9U);
+    BOOST_TEST(request_priority(std::nullopt, 1) == request_priority(1, 1));
+}
+
 BOOST_AUTO_TEST_CASE(each_result_has_its_error)
 {
     using enum access_result;
