--- a/programs/marjorampath-bench/slopes.cpp
+++ b/programs/marjorampath-bench/slopes.cpp
@@ -2,6 +2,8 @@
 #include <marjorampath/core/hash.hpp>
 #include <marjorampath/gossip/message_size.hpp>
 #include <marjorampath/membership/host_table.hpp>
+#include <marjorampath/organisation/access_decision.hpp>
+#include <marjorampath/organisation/organisation_directory.hpp>
 #include <marjorampath/sheet/sheet_packer.hpp>
 #include <marjorampath/sheet/sheet_reader.hpp>
 #include <programs/marjorampath-bench/subcommand.hpp>
@@ -14,6 +16,9 @@
 #include <ctime>
 #include <malloc.h>
 #include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
 
 namespace marjorampath::bench
 {
@@ -194,6 +199,37 @@
     print("host_memory", (used_memory() - memory) / host_count, "bytes");
 }
 
+// Keys of organisations: the decision about a request, with every second key unknown
+void measure_keys()
+{
+    constexpr std::size_t organisations = 16;
+    constexpr std::size_t keys = 10'000;
+    constexpr std::size_t requests = 1'000'000;
+    std::vector<organisation> list(organisations);
+    std::vector<std::string> sent;
+    for (std::size_t index = 0; index < keys; ++index)
+    {
+        auto const key = fmt::format("key-{:016x}", hash_combine(index, 1));
+        list[index % organisations].keys.push_back(key);
+        sent.push_back(index % 2 == 0 ? key : fmt::format("no-{:016x}", index));
+    }
+    for (std::size_t index = 0; index < organisations; ++index)
+        list[index].name = fmt::format("organisation-{}", index);
+    auto const memory = used_memory();
+    organisation_directory const directory(list, keys);
+    print("key_memory", (used_memory() - memory) / keys, "bytes");
+
+    std::size_t authorised = 0;
+    auto const start = processor_us();
+    for (std::size_t index = 0; index < requests; ++index)
+        if (decide_access(&directory, {.value = sent[index * 7'919 % keys]}, false, true)
+                .caller)
+            ++authorised;
+    print("key_decision_us", (processor_us() - start) / requests, "us");
+    if (authorised != requests / 2)
+        throw std::logic_error("wrong number of authorised requests");
+}
+
 // Size in bytes of an encoded message between hosts
 template <class Wire, class Message>
 double wire_bytes(Message const& message)
@@ -248,6 +284,7 @@
     measure_sheet();
     measure_cell();
     measure_hosts();
+    measure_keys();
     measure_messages();
     measure_grants();
     return 0;
