--- a/marjorampath/organisation/request_priority.hpp
+++ b/marjorampath/organisation/request_priority.hpp
@@ -7,10 +7,10 @@
 namespace marjorampath
 {
 
-/// Priority of a request in a deployment with organisations: that of its organisation goes
-/// first, and among equals that of its route. Endpoints tell ten priorities apart, which
-/// leaves three of each; what lies beyond shares the last one. An organisation without a
-/// priority takes that of the route.
+/// Priority of a request in a deployment with organisations: that of its organisation
+/// goes first, and among equals that of its route. Endpoints tell ten priorities apart,
+/// which leaves three of each; what lies beyond shares the last one. An organisation
+/// without a priority takes that of the route.
 constexpr std::uint32_t request_priority(std::optional<std::uint32_t> organisation,
                                          std::uint32_t route) noexcept
 {
--- a/tests/unit/entry/entry_access_test.cpp
+++ b/tests/unit/entry/entry_access_test.cpp
@@ -133,6 +133,61 @@
     }
 }
 
+// A refusal by the head of a request must not lose the next request on the connection,
+// and must not read a body that nobody wants
+BOOST_AUTO_TEST_CASE(a_refusal_by_the_head_keeps_the_connection_if_there_is_no_body)
+{
+    entry_fixture fixture({{sealed("1")}}, {});
+    std::size_t seen = 0;
+    fixture.context.callers.refuse_head =
+        [&](caller_message const& message) -> std::optional<caller_answer>
+    {
+        BOOST_TEST(message.body().empty());
+        ++seen;
+        if (message.target() == "/unsafe/1")
+            return std::nullopt;
+        return platform::request_dialect::error_answer(
+            {.kind = error_kind::unauthorized, .message = {}}, "9c41");
+    };
+    auto const head = [](char const* method, char const* path, char const* more)
+    {
+        return fmt::format("{} {} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 9c41\r\n"
+                           "X-Deadline-Ms: 2000\r\n{}\r\n",
+                           method, path, more);
+    };
+    auto const text = head("GET", "/safe/0", "") + head("GET", "/unsafe/1", "") +
+                      head("POST", "/unsafe/2", "Content-Length: 8000000\r\n") + "body";
+    auto const answers = fixture.send_bytes(text);
+    BOOST_TEST(seen == 3U);
+    auto const first = answers.find("401 Unauthorized");
+    auto const second = answers.find("200 OK");
+    auto const third = answers.find("401 Unauthorized", second);
+    BOOST_TEST(first < second);
+    BOOST_TEST(second < third);
+    BOOST_TEST(third != std::string::npos);
+    BOOST_TEST(contains(answers.substr(third), "Connection: close"));
+}
+
+// A trailer joins the fields of the head behind the check of the head
+BOOST_AUTO_TEST_CASE(a_trailer_neither_adds_a_key_nor_an_organisation)
+{
+    auto const request = [](std::string const& trailer)
+    {
+        return "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 9c41\r\n"
+               "X-Deadline-Ms: 2000\r\nX-Key: key-a\r\nConnection: close\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n" +
+               trailer + "\r\n";
+    };
+    access_fixture fixture({{sealed("1")}}, {});
+    BOOST_TEST(contains(fixture.send_bytes(request("X-Tenant: b\r\n")), "200 OK"));
+    BOOST_TEST(fixture.sent()["X-Tenant"] == "a");
+    BOOST_TEST(fixture.sent().count("X-Tenant") == 1U);
+    access_fixture other({{sealed("1")}}, {});
+    BOOST_TEST(
+        contains(other.send_bytes(request("X-Key: key-b\r\n")), "400 Bad Request"));
+    BOOST_TEST(other.sends() == 0U);
+}
+
 // Two keys leave open for which organisation the request runs
 BOOST_AUTO_TEST_CASE(two_keys_and_a_key_that_is_too_long_are_malformed)
 {
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <fmt/format.h>
+#include <fmt/ostream.h>
 
 #include <array>
 #include <deque>
@@ -265,6 +266,20 @@
     std::string
     send_request(http::verb method, std::string const& path,
                  std::vector<std::pair<char const*, char const*>> const& more = {})
+    {
+        caller_message message(method, path, 11);
+        message.set("Host", "a.example");
+        message.set("X-Attempt-Id", "9c41");
+        message.set("X-Deadline-Ms", "2000");
+        for (auto const& [name, value] : more)
+            message.set(name, value);
+        message.keep_alive(false);
+        message.prepare_payload();
+        return send_bytes(fmt::format("{}", fmt::streamed(message)));
+    }
+
+    // Sends bytes and reads until the connection ends; returns what was read
+    std::string send_bytes(std::string const& text)
     {
         std::string answer;
         asio::co_spawn(
@@ -273,15 +288,8 @@
             {
                 tcp::socket socket(loop);
                 co_await socket.async_connect(listener.address(), asio::use_awaitable);
-                caller_message message(method, path, 11);
-                message.set("Host", "a.example");
-                message.set("X-Attempt-Id", "9c41");
-                message.set("X-Deadline-Ms", "2000");
-                for (auto const& [name, value] : more)
-                    message.set(name, value);
-                message.keep_alive(false);
-                message.prepare_payload();
-                co_await http::async_write(socket, message, asio::use_awaitable);
+                co_await asio::async_write(socket, asio::buffer(text),
+                                           asio::use_awaitable);
                 error_code error;
                 std::array<char, 4'096> bytes{};
                 while (!error)
