--- a/tests/unit/entry/entry_access_test.cpp
+++ b/tests/unit/entry/entry_access_test.cpp
@@ -133,6 +133,32 @@
     }
 }
 
+// A host to which a request was passed on may know of a revocation that the first host
+// does not
+BOOST_AUTO_TEST_CASE(a_request_that_was_passed_on_is_checked_again)
+{
+    caller_message message(http::verb::get, "/unsafe/x", 11);
+    message.set("X-Key", "key-a");
+    auto const passed_on = platform::request_dialect::forwarded_message(message, {});
+    BOOST_TEST(passed_on["X-Key"] == "key-a");
+
+    access_fixture authorised({{sealed("1")}}, {});
+    authorised.forwarded = true;
+    BOOST_TEST(contains(authorised.send_request(http::verb::post, unsafe_path,
+                                                {{"X-Key", "key-a"}, {"X-Tenant", "b"}}),
+                        "200 OK"));
+    BOOST_TEST(authorised.sent()["X-Tenant"] == "a");
+    BOOST_TEST(authorised.sent().count("X-Key") == 0U);
+
+    access_fixture revoked({{sealed("1")}}, {});
+    revoked.forwarded = true;
+    revoked.publish({});
+    BOOST_TEST(contains(
+        revoked.send_request(http::verb::post, unsafe_path, {{"X-Key", "key-a"}}),
+        "401 Unauthorized"));
+    BOOST_TEST(revoked.sends() == 0U);
+}
+
 // A refusal by the head of a request must not lose the next request on the connection,
 // and must not read a body that nobody wants
 BOOST_AUTO_TEST_CASE(a_refusal_by_the_head_keeps_the_connection_if_there_is_no_body)
