Discard the rest of a refused request as before

Cause: with a bound on what is discarded, a sender beyond the limits lost the 400 that it was to get: unparsed_bytes/a_request_is_rejected failed three of three times. The bound was checked with other suites only. Result: unparsed_bytes, entry, caller and exchange suites passed (111 cases).

--- a/serving/caller/caller_session.cpp
+++ b/serving/caller/caller_session.cpp
@@ -12,9 +12,7 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <array>
-#include <cstdint>
 #include <sys/socket.h>
 #include <utility>
 
@@ -202,13 +200,9 @@
     socket_.shutdown(tcp::socket::shutdown_send, error);
     expire_after(discard_timeout);
     std::array<char, 4'096> discarded{};
-
-    // No more than a caller within the limits may send
-    for (auto left = context_->limits.max_body_bytes; !error && left > 0;)
-        left -= std::min<std::uint64_t>(
-            left, co_await socket_.async_read_some(
-                      asio::buffer(discarded),
-                      asio::redirect_error(asio::use_awaitable, error)));
+    while (!error)
+        co_await socket_.async_read_some(
+            asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
 }
 
 void caller_session::set_common_fields(http::fields& fields) const
