--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Builds what the scripts of this review start: the project's stand-ins and the cases'
+# own programs. Run it after the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release > /dev/null
+cmake --build target -j8 --target marjorampath-standin
+mkdir -p target/review
+flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread)
+for part in harness engine; do
+    g++ "${flags[@]}" -c "review/harness-2/$part.cpp" -o "target/review/$part.o"
+done
+for source in review/[0-9]*/*.cpp; do
+    number=$(basename "$(dirname "$source")")
+    [ "$number" -ge 6 ] || continue
+    g++ "${flags[@]}" "$source" target/review/harness.o target/review/engine.o \
+        -o "target/review/case-$number"
+done
