Review case 10: unfinished bodies within the limit take a host over its memory

Cause: each body is read into memory up to the limit of one request, and nothing adds up what all connections hold.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,14 +5,14 @@
 cd "$(dirname "$0")/.."
 cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release > /dev/null
 cmake --build target -j8 --target marjorampath-standin
-mkdir -p target/review
+mkdir -p target/review-2
 flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread)
 for part in harness engine; do
-    g++ "${flags[@]}" -c "review/harness-2/$part.cpp" -o "target/review/$part.o"
+    g++ "${flags[@]}" -c "review/harness-2/$part.cpp" -o "target/review-2/$part.o"
 done
 for source in review/[0-9]*/*.cpp; do
     number=$(basename "$(dirname "$source")")
     [ "$number" -ge 6 ] || continue
-    g++ "${flags[@]}" "$source" target/review/harness.o target/review/engine.o \
-        -o "target/review/case-$number"
+    g++ "${flags[@]}" "$source" target/review-2/harness.o target/review-2/engine.o \
+        -o "target/review-2/case-$number"
 done
--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -385,6 +385,26 @@
     return answer;
 }
 
+void hold_open(address const& server, std::string const& text, std::int64_t until_ms)
+{
+    owned_socket const socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    auto where = to_socket_address(server);
+    if (::connect(socket.get(), reinterpret_cast<sockaddr*>(&where), sizeof(where)) != 0)
+        return;
+    std::string ignored;
+    if (send_text(socket.get(), text))
+        while (receive(socket.get(), ignored, until_ms))
+            ignored.clear();
+}
+
+std::string to_hexadecimal(std::size_t size)
+{
+    std::array<char, 20> text{};
+    auto const end =
+        std::to_chars(text.data(), text.data() + text.size(), size, hexadecimal);
+    return {text.data(), end.ptr};
+}
+
 bool responder::send_all(std::string const& text)
 {
     if (!send_text(socket_, text))
@@ -410,10 +430,7 @@
 
 bool responder::write(std::string const& text)
 {
-    std::array<char, 20> size{};
-    auto const end =
-        std::to_chars(size.data(), size.data() + size.size(), text.size(), hexadecimal);
-    return send_all(std::string(size.data(), end.ptr) + "\r\n" + text + "\r\n");
+    return send_all(to_hexadecimal(text.size()) + "\r\n" + text + "\r\n");
 }
 
 void responder::finish()
--- a/review/harness-2/harness.hpp
+++ b/review/harness-2/harness.hpp
@@ -133,6 +133,13 @@
                  std::int64_t limit_ms,
                  std::function<void(std::string_view)> const& on_body = {});
 
+/// Sends a text on a new connection and keeps that open until a time, or until the server
+/// closes it.
+void hold_open(address const& server, std::string const& text, std::int64_t until_ms);
+
+/// A size as in the head of a chunk.
+std::string to_hexadecimal(std::size_t size);
+
 /// Answers one request of a `http_server`.
 class responder
 {
@@ -273,7 +280,7 @@
     std::uint16_t metrics_port_ = 0;
 };
 
-/// A program and its folder by the path of a case's program, `target/review/NAME`.
+/// A program and its folder by the path of a case's program, `target/review-2/NAME`.
 std::string bin_folder();
 
 /// Runs a case; an exception means that it could not run.
