--- a/review/7/joined_versions.cpp
+++ b/review/7/joined_versions.cpp
@@ -1,5 +1,5 @@
-#include "../harness-2/engine.hpp"
-#include "../harness-2/harness.hpp"
+#include "tools/engine.hpp"
+#include "tools/harness.hpp"
 #include <algorithm>
 #include <array>
 #include <csignal>
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 mkdir -p target/review-2
 flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread)
 for part in harness engine; do
-    g++ "${flags[@]}" -c "review/harness-2/$part.cpp" -o "target/review-2/$part.o"
+    g++ "${flags[@]}" -c "review/7/tools/$part.cpp" -o "target/review-2/$part.o"
 done
 for source in review/[0-9]*/*.cpp; do
     number=$(basename "$(dirname "$source")")
