Continue streams from before a host's start only at a version that certainly began them

Change: software_history states since when each endpoint that served is known, and every question names the time since which the answer must hold. For earlier times the host reads the store's past changes of entries (kv-watch from an earlier revision), which survive the loss of all hosts. Revisions have no times: latest_change_times bounds them by the listings and by the announcements in between. Without a history that reaches back far enough the stream is refused; engines are asked what they keep only where the ends of processes are known. The store's stand-in keeps overwritten values in its history, as the platform does.

The model of origin_evidence now also loses engines before the host's first listing.

--- a/marjorampath/deployment/software_history.cpp
+++ b/marjorampath/deployment/software_history.cpp
@@ -1,3 +1,4 @@
+#include <marjorampath/deployment/change_times.hpp>
 #include <marjorampath/deployment/software_history.hpp>
 
 #include <algorithm>
@@ -5,73 +6,135 @@
 namespace marjorampath
 {
 
-void software_history::on_listing(time_point listed_at)
+namespace
 {
-    if (listed_at_ && listed_at - *listed_at_ > max_listing_gap)
-        gap_end_ = listed_at;
+
+bool is_other_process(endpoint_announcement const& one,
+                      endpoint_announcement const& other)
+{
+    return one.started_at_ms != other.started_at_ms ||
+           one.software_version != other.software_version || one.service != other.service;
+}
+
+} // namespace
+
+void software_history::on_listing(time_point listed_at, store_position position)
+{
+    if (!listed_at_ || listed_at - *listed_at_ > max_listing_gap)
+    {
+        first_listing_ = {.listed_at = listed_at, .position = position};
+        known_since_ = listed_at;
+        known_after_ = position;
+    }
     listed_at_ = std::max(listed_at, listed_at_.value_or(listed_at));
 }
 
 void software_history::on_endpoint(endpoint_event const& event, time_point now)
 {
-    known_since_ = known_since_.value_or(now);
     auto const& announced = event.endpoint;
+    present_endpoint const present{.service = announced.service,
+                                   .software_version = announced.software_version};
     auto const found = endpoints_.find(announced.id);
     if (found != endpoints_.end() &&
         (event.change == endpoint_change::gone ||
-         event.change == endpoint_change::restarted ||
-         found->second.service != announced.service ||
-         found->second.software_version != announced.software_version))
-        departed_[{found->second.service, found->second.software_version}] = now;
+         event.change == endpoint_change::restarted || found->second != present))
+        note_ended(found->second, now);
     if (event.change == endpoint_change::gone)
         endpoints_.erase(announced.id);
     else
-        endpoints_[announced.id] = {.service = announced.service,
-                                    .software_version = announced.software_version,
-                                    .started_at_ms = announced.started_at_ms};
-    std::erase_if(departed_, [&](auto const& entry)
+        endpoints_[announced.id] = present;
+    std::erase_if(ended_, [&](auto const& entry)
                   { return now - entry.second > max_stream_age_; });
 }
 
-std::optional<std::string>
-software_history::only_version(service_id service, time_point now,
-                               wall_milliseconds wall_now) const
+void software_history::note_ended(present_endpoint const& endpoint, time_point ended_by)
+{
+    auto const found =
+        ended_.try_emplace({endpoint.service, endpoint.software_version}, ended_by).first;
+    found->second = std::max(found->second, ended_by);
+}
+
+void software_history::on_history(endpoint_history const& history, time_point read_at,
+                                  wall_milliseconds wall_read_at)
 {
-    std::optional<std::string> only;
-    auto const differs = [&](std::string const& version)
+    if (!first_listing_ || history.until.era != known_after_.era ||
+        history.after.era != known_after_.era || history.until < known_after_ ||
+        known_after_ <= history.after)
+        return;
+    auto const times = latest_change_times(
+        history,
+        {{.position = history.until, .reached_by = read_at},
+         {.position = first_listing_->position, .reached_by = first_listing_->listed_at}},
+        {});
+    auto const is_whole = history.after.revision == 0;
+    auto const begins_at = is_whole ? time_point::min() : times.front();
+
+    // An entry that existed before names a process that started within the history: the
+    // one before it ended there
+    auto const follows_unseen_process = [&](endpoint_entry_change const& change)
     {
-        only = only.value_or(version);
-        return *only != version;
+        wall_milliseconds const started(
+            static_cast<std::int64_t>(change.entry->started_at_ms));
+        return !change.created && !is_whole &&
+               wall_read_at - started < read_at - begins_at + max_clock_error;
     };
-    if (gap_end_ && now - *gap_end_ < max_stream_age_)
-        return std::nullopt;
-    auto const known_long_enough = known_since_ && now - *known_since_ >= max_stream_age_;
-    auto const max_age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(max_stream_age_);
-    for (auto const& [id, endpoint] : endpoints_)
+    std::map<endpoint_id, endpoint_announcement const*> entries;
+    for (std::size_t index = 0; index < history.changes.size(); ++index)
     {
-        if (endpoint.service != service)
-            continue;
-        wall_milliseconds const started(
-            static_cast<std::int64_t>(endpoint.started_at_ms));
-        if (differs(endpoint.software_version) ||
-            (!known_long_enough && started + max_age > wall_now))
-            return std::nullopt;
+        auto const& change = history.changes[index];
+        auto const ended_by = times[index + 1];
+        auto const found = entries.find(change.id);
+        auto const* before = found == entries.end() ? nullptr : found->second;
+        // The listings show the later ones, and when they were made
+        if (change.position > first_listing_->position)
+            break;
+        auto const ended =
+            !change.entry || (before ? is_other_process(*before, *change.entry)
+                                     : follows_unseen_process(change));
+        if (ended && before)
+            note_ended({.service = before->service,
+                        .software_version = before->software_version},
+                       ended_by);
+        else if (ended)
+            unknown_ended_ = std::max(unknown_ended_.value_or(ended_by), ended_by);
+        if (change.entry)
+            entries[change.id] = &*change.entry;
+        else
+            entries.erase(change.id);
     }
-    for (auto const& [key, left_at] : departed_)
-        if (key.first == service && now - left_at <= max_stream_age_ &&
-            differs(key.second))
-            return std::nullopt;
-    return only;
+    known_after_ = history.after;
+    known_since_ = std::min(*known_since_, begins_at);
+}
+
+bool software_history::is_known_since(time_point since) const
+{
+    return known_since_ && *known_since_ <= since;
+}
+
+std::optional<std::string> software_history::only_version(service_id service,
+                                                          time_point since) const
+{
+    if (!is_known_since(since) || (unknown_ended_ && *unknown_ended_ >= since))
+        return std::nullopt;
+    std::set<std::string_view> versions;
+    for (auto const& [id, endpoint] : endpoints_)
+        if (endpoint.service == service)
+            versions.insert(endpoint.software_version);
+    for (auto const& [key, ended_by] : ended_)
+        if (key.first == service && ended_by >= since)
+            versions.insert(key.second);
+    if (versions.size() != 1)
+        return std::nullopt;
+    return std::string(*versions.begin());
 }
 
 bool software_history::another_version_ended(service_id service,
                                              std::string const& version,
                                              time_point since) const
 {
-    if (gap_end_ && *gap_end_ >= since)
+    if (!is_known_since(since) || (unknown_ended_ && *unknown_ended_ >= since))
         return true;
-    return std::any_of(departed_.begin(), departed_.end(),
+    return std::any_of(ended_.begin(), ended_.end(),
                        [&](auto const& entry)
                        {
                            return entry.first.first == service &&
--- a/marjorampath/deployment/software_history.hpp
+++ b/marjorampath/deployment/software_history.hpp
@@ -1,23 +1,29 @@
 #pragma once
 
 #include <marjorampath/core/identifier.hpp>
+#include <marjorampath/core/store_position.hpp>
 #include <marjorampath/core/time.hpp>
 #include <marjorampath/deployment/endpoint_catalog.hpp>
+#include <marjorampath/deployment/endpoint_history.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
 namespace marjorampath
 {
 
-/// The software versions of each service's endpoints, now and in the recent past.
+/// The software versions of each service's endpoints, now and in the recent past, and
+/// since when they are known without a gap.
 ///
 /// A stream whose origin is not known may go on only if no other version can have begun
-/// it.
+/// it. What ended before this host's first listing, or in a gap between two listings, is
+/// unknown until it is read from the history of service discovery.
 class software_history
 {
 public:
@@ -27,24 +33,30 @@
     {
     }
 
-    /// Notes that the listing of endpoints was read from service discovery at a time.
-    /// Endpoints that came and went between two listings far apart were never seen.
-    void on_listing(time_point listed_at);
+    /// Notes that the listing of endpoints at a position was read from service discovery
+    /// at a time. Endpoints that came and went between two listings far apart were never
+    /// seen.
+    void on_listing(time_point listed_at, store_position position);
 
     /// Processes a change to the endpoint catalog.
     void on_endpoint(endpoint_event const& event, time_point now);
 
-    /// The version that began every stream of a service that can still be continued;
-    /// empty if there may be several.
-    ///
-    /// A host that has known the endpoints for less than the longest age of a stream
-    /// relies on their starts: during a rollout some have started recently.
-    [[nodiscard]] std::optional<std::string>
-    only_version(service_id service, time_point now, wall_milliseconds wall_now) const;
-
-    /// Whether a process of a service's endpoint with another software version has ended
-    /// since a time, or may have while there was no listing. What was before the first
-    /// listing is not known.
+    /// Adds what the history of service discovery, read at a time, says of endpoints that
+    /// this host has never listed. Ignored unless it reaches to the listings without a
+    /// gap.
+    void on_history(endpoint_history const& history, time_point read_at,
+                    wall_milliseconds wall_read_at);
+
+    /// Whether each endpoint that has served since a time is known.
+    [[nodiscard]] bool is_known_since(time_point since) const;
+
+    /// The version of all endpoints of a service that may have served since a time; empty
+    /// if there may be several.
+    [[nodiscard]] std::optional<std::string> only_version(service_id service,
+                                                          time_point since) const;
+
+    /// Whether a process of a service's endpoint with another software version may have
+    /// ended since a time.
     [[nodiscard]] bool another_version_ended(service_id service,
                                              std::string const& version,
                                              time_point since) const;
@@ -55,25 +67,44 @@
     {
         service_id service;
         std::string software_version;
-        // In wall-clock milliseconds
-        std::uint64_t started_at_ms = 0;
+
+        friend bool operator==(present_endpoint const&,
+                               present_endpoint const&) = default;
+    };
+
+    // A listing without a gap between it and the last one
+    struct listing
+    {
+        time_point listed_at;
+        store_position position;
     };
 
     // Gap between two listings up to which each endpoint that served was listed: an entry
     // stays for three announcements, 1.2 s apart
     static constexpr duration max_listing_gap = std::chrono::milliseconds(3'600);
 
+    // Largest difference between the wall clocks of this host and an endpoint's
+    static constexpr duration max_clock_error = std::chrono::seconds(2);
+
+    // Notes that a process with this version ended at a time at the latest
+    void note_ended(present_endpoint const& endpoint, time_point ended_by);
+
     duration max_stream_age_;
-    // When the first endpoint was listed
-    std::optional<time_point> known_since_;
+    // The first listing behind which there was no gap
+    std::optional<listing> first_listing_;
     // When the last listing was read
     std::optional<time_point> listed_at_;
-    // End of the last gap between listings in which endpoints may have come and gone
-    std::optional<time_point> gap_end_;
+    // Time since which each endpoint that served is known; with `known_after_`, the
+    // position behind which no change is missing
+    std::optional<time_point> known_since_;
+    store_position known_after_;
     // Present endpoints
     std::map<endpoint_id, present_endpoint> endpoints_;
-    // When the last process with a version ended, by service and version
-    std::map<std::pair<service_id, std::string>, time_point> departed_;
+    // Latest time at which a process with a version may have ended, by service and
+    // version
+    std::map<std::pair<service_id, std::string>, time_point> ended_;
+    // The same of processes whose service and version are not known
+    std::optional<time_point> unknown_ended_;
 };
 
 } // namespace marjorampath
--- a/marjorampath/stream_origin/stream_question.hpp
+++ b/marjorampath/stream_origin/stream_question.hpp
@@ -15,18 +15,19 @@
 {
     /// Its service.
     service_id service;
-    /// Last part of its prompt, which only the stream or its session has.
+    /// Last part of its prompt, which only the stream or its session has; zero if it has
+    /// no parts.
     std::uint64_t part = 0;
     /// Time before which the stream cannot have begun.
     time_point began_after;
 };
 
-/// What engines keep of its prompt says about the origin of such a stream.
+/// What one kind of evidence says about the origin of such a stream.
 struct origin_judgement
 {
     /// The software version that began the stream; empty if that is not certain.
     std::optional<std::string> software_version;
-    /// Whether engines have been asked and their answers may make it certain.
+    /// Whether answers are awaited that may make it certain.
     bool pending = false;
 };
 
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -74,7 +74,8 @@
     duration origin_timeout = std::chrono::milliseconds(25);
     /// Time to wait for a listing of the endpoints.
     duration listing_timeout = std::chrono::milliseconds(1'000);
-    /// Time to wait for engines to say what they keep of prompts.
+    /// Time to wait for what the store's history, or engines that keep prompts, say of a
+    /// stream's origin.
     duration evidence_timeout = std::chrono::milliseconds(800);
     /// Age up to which a stream may have begun if its caller does not tell its deadline.
     duration max_stream_age = stream_origin_options{}.max_stream_age;
@@ -147,18 +148,18 @@
     /// Whether the listing of the endpoints was read from service discovery after a time.
     /// If it was not, it is read soon, and the waiters of `listing_waiters` are woken.
     std::function<bool(time_point)> request_listing;
-    /// The software version that began every stream of a service that can still be
-    /// continued, by the last listing; empty if there may be several.
-    std::function<std::optional<std::string>(service_id)> only_software_version;
+    /// The software version that began a stream by the versions that its service has had
+    /// since.
+    std::function<origin_judgement(stream_question const&)> judge_versions;
     /// The software version that began a stream by what engines keep of its prompt.
-    std::function<origin_judgement(stream_question const&)> judge_origin;
+    std::function<origin_judgement(stream_question const&)> judge_kept_parts;
     /// Number of hosts that share the retry budgets.
     std::function<std::size_t()> host_count;
     /// Timers of the exchanges that wait for an adapter to be loaded, by `MODEL/ADAPTER`.
     waiting_timers<std::string> adapter_waiters;
     /// Timers of the exchanges that wait for an engine's status.
     waiting_timers<endpoint_id> status_waiters;
-    /// Timers of the exchanges that wait for what engines keep of prompts, by service.
+    /// Timers of the exchanges that wait for evidence of a stream's origin, by service.
     waiting_timers<service_id> evidence_waiters;
     /// Timers of the exchanges that wait for a listing of the endpoints, by service.
     waiting_timers<service_id> listing_waiters;
@@ -206,6 +207,13 @@
         cancel(evidence_waiters, service);
     }
 
+    /// Wakes all exchanges that wait for evidence of a stream's origin.
+    void wake_evidence_waiters()
+    {
+        for (auto const& [service, timer] : evidence_waiters)
+            timer->cancel();
+    }
+
     /// Wakes the exchanges that wait for a listing of the endpoints.
     void wake_listing_waiters()
     {
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -163,8 +163,11 @@
     // Waits for a listing of the endpoints that was read after this request arrived: only
     // that one has each version that can have begun the stream. False if there is none
     boost::asio::awaitable<bool> await_listing();
-    // Asks what engines keep of the prompt for the software version that began the stream
-    boost::asio::awaitable<std::optional<std::string>> judge_origin();
+    // The question for the software version that began the stream
+    [[nodiscard]] stream_question make_stream_question() const;
+    // Asks one kind of evidence for that version, and waits for it
+    boost::asio::awaitable<std::optional<std::string>>
+    await_judgement(std::function<origin_judgement(stream_question const&)> const& judge);
     // Lets only the software version of the current endpoint continue the stream
     void pin_software_version();
     // Makes an attempt; at an endpoint that limits its rate only with a permit, else
--- a/serving/entry/entry_exchange_origin.inl
+++ b/serving/entry/entry_exchange_origin.inl
@@ -12,13 +12,13 @@
     auto const listed = !required && co_await await_listing();
     if (listed)
     {
-        required = context_->only_software_version(request_.dispatch_call.service);
+        required = co_await await_judgement(context_->judge_versions);
         if (required)
             source = "only_version";
     }
     if (listed && !required && !request_.dispatch_call.parts.empty() && !aborted())
     {
-        required = co_await judge_origin();
+        required = co_await await_judgement(context_->judge_kept_parts);
         if (required)
             source = "kept_prompt";
     }
@@ -44,23 +44,33 @@
 }
 
 template <entry_dialect Dialect>
-boost::asio::awaitable<std::optional<std::string>> entry_exchange<Dialect>::judge_origin()
+stream_question entry_exchange<Dialect>::make_stream_question() const
 {
     // The caller's deadline has run since its first attempt
     auto const& dispatch_call = request_.dispatch_call;
     auto const elapsed =
         request_.matched_route->timeout - (dispatch_call.deadline - begin_);
-    stream_question const question{
-        .service = dispatch_call.service,
-        .part = dispatch_call.parts.back().id,
-        .began_after =
-            begin_ - (elapsed > duration{0} ? elapsed : context_->times.max_stream_age)};
-    auto judgement = context_->judge_origin(question);
-    if (judgement.pending && !judgement.software_version)
+    return {.service = dispatch_call.service,
+            .part = dispatch_call.parts.empty() ? 0 : dispatch_call.parts.back().id,
+            .began_after = begin_ - (elapsed > duration{0}
+                                         ? elapsed
+                                         : context_->times.max_stream_age)};
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<std::optional<std::string>>
+entry_exchange<Dialect>::await_judgement(
+    std::function<origin_judgement(stream_question const&)> const& judge)
+{
+    auto const question = make_stream_question();
+    auto const end = boot_now() + context_->times.evidence_timeout;
+    auto judgement = judge(question);
+    while (judgement.pending && !judgement.software_version && !aborted() &&
+           boot_now() < end)
     {
         co_await wait_until_notified(context_->evidence_waiters, question.service,
-                                     context_->times.evidence_timeout);
-        judgement = context_->judge_origin(question);
+                                     end - boot_now());
+        judgement = judge(question);
     }
     co_return judgement.software_version;
 }
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -114,6 +114,11 @@
     // Other hosts that remember the origin of a stream. All may be lost at once, and then
     // it is unknown
     static constexpr std::size_t origin_replicas = 4;
+    // Most reads of the store's history in a row: the first guesses how far to go back
+    static constexpr unsigned max_history_reads = 8;
+    // Announcements beyond those of the time asked for: the estimate of the time that the
+    // history covers is a cautious one
+    static constexpr duration::rep spare_announcements = 3;
     // Endpoints of a service that are probed at once
     static constexpr std::size_t probed_endpoints = 3;
     // Other hosts that are asked for it: more, as others may have been alive when the
@@ -349,13 +354,18 @@
     std::optional<std::string> find_stream(stream_id stream, std::uint64_t number);
     // Whether the listing was read from the store after a time; else it is read soon
     bool request_listing(time_point since);
-    // The software version that began every stream of a service that can still be
-    // continued; empty if there may be several
-    [[nodiscard]] std::optional<std::string>
-    only_software_version(service_id service) const;
+    // The software version that began a stream by the versions that its service has had
+    // since; reads the store's history if they are not known
+    origin_judgement judge_versions(stream_question const& question);
+    // Reads the store's history until all endpoints are known that have served since a
+    // time, as far as the store has it
+    boost::asio::awaitable<void> read_software_history(time_point since);
+    // Number of revisions within which the entries were written since a time, by an
+    // estimate
+    [[nodiscard]] std::uint64_t estimate_revisions(time_point since) const;
     // The software version that began a stream by what engines keep of its prompt; asks
     // them if that is not known
-    origin_judgement judge_origin(stream_question const& question);
+    origin_judgement judge_kept_parts(stream_question const& question);
     // Asks an engine which prompt parts it keeps
     boost::asio::awaitable<void> read_kept_parts(endpoint_announcement engine);
     // Answers another host's question for the origin of a stream
@@ -428,6 +438,9 @@
     open_streams open_streams_;
     // Software versions of the services' endpoints
     software_history software_;
+    // Whether the store's history is being read, and when it may be read again
+    bool reading_software_history_ = false;
+    time_point next_history_read_at_;
     // Membership in the fleet
     entry_fleet fleet_;
     // Last listing as text for other hosts
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -122,10 +122,10 @@
         .find_stream = [this](stream_id stream, std::uint64_t number)
         { return find_stream(stream, number); },
         .request_listing = [this](time_point since) { return request_listing(since); },
-        .only_software_version = [this](service_id service)
-        { return only_software_version(service); },
-        .judge_origin = [this](stream_question const& question)
-        { return judge_origin(question); },
+        .judge_versions = [this](stream_question const& question)
+        { return judge_versions(question); },
+        .judge_kept_parts = [this](stream_question const& question)
+        { return judge_kept_parts(question); },
         .host_count = [this] { return fleet_.peers().sharing_hosts(); },
         .adapter_waiters = {},
         .status_waiters = {},
--- a/serving/entry/entry_node_streams.inl
+++ b/serving/entry/entry_node_streams.inl
@@ -45,15 +45,67 @@
 }
 
 template <entry_platform Platform>
-std::optional<std::string>
-entry_node<Platform>::only_software_version(service_id service) const
+origin_judgement entry_node<Platform>::judge_versions(stream_question const& question)
 {
-    return software_.only_version(service, boot_now(), wall_now());
+    auto const since = question.began_after;
+    auto const is_known = software_.is_known_since(since);
+    if (!is_known && !reading_software_history_ && boot_now() >= next_history_read_at_)
+        boost::asio::co_spawn(loop_, read_software_history(since), boost::asio::detached);
+    return {.software_version = software_.only_version(question.service, since),
+            .pending = !is_known && reading_software_history_};
 }
 
 template <entry_platform Platform>
-origin_judgement entry_node<Platform>::judge_origin(stream_question const& question)
+boost::asio::awaitable<void>
+entry_node<Platform>::read_software_history(time_point since)
+{
+    reading_software_history_ = true;
+    auto const listed = catalog_.position();
+    auto back = estimate_revisions(since);
+    auto is_limited = false;
+    endpoint_history_read read;
+    for (unsigned reads = 0; reads < max_history_reads; ++reads)
+    {
+        auto const after = listed.revision > back ? listed.revision - back : 0;
+        auto const wall_asked_at = wall_now();
+        read = co_await source_.read_endpoint_history(after, listed);
+        log_event(event::endpoint_history_read, "after", after, "revision",
+                  read.history.until.revision, "changes", read.history.changes.size(),
+                  "error", read.error.message());
+        if (finished_)
+            co_return;
+        is_limited = is_limited || read.error == remote_error::history_lost;
+        if (read.error == remote_error::history_lost)
+        {
+            back -= back / 4 + 1;
+            continue;
+        }
+        if (read.error)
+            break;
+        software_.on_history(read.history, boot_now(), wall_asked_at);
+        if (software_.is_known_since(since) || is_limited || after == 0)
+            break;
+        back *= 2;
+    }
+    reading_software_history_ = false;
+    next_history_read_at_ = boot_now() + times_.history_interval;
+    context_.wake_evidence_waiters();
+}
+
+template <entry_platform Platform>
+std::uint64_t entry_node<Platform>::estimate_revisions(time_point since) const
+{
+    auto const announcements =
+        (boot_now() - since) / times_.announcement_interval + spare_announcements;
+    return static_cast<std::uint64_t>(announcements) * (catalog_.endpoints().size() + 1);
+}
+
+template <entry_platform Platform>
+origin_judgement entry_node<Platform>::judge_kept_parts(stream_question const& question)
 {
+    // Without that, an engine of another version may have begun it unseen
+    if (!software_.is_known_since(question.began_after))
+        return {};
     auto const now = boot_now();
     auto const& endpoints = catalog_.endpoints();
     auto version = origin_evidence_.find_version(question, endpoints, software_, now);
--- a/serving/entry/entry_node_times.hpp
+++ b/serving/entry/entry_node_times.hpp
@@ -34,6 +34,10 @@
     store_fallback::options fallback;
     /// Least time between two reads of the listing for streams that are continued here.
     duration wanted_listing_interval = std::chrono::milliseconds(200);
+    /// Least time between two rounds of reads of the store's history.
+    duration history_interval = std::chrono::milliseconds(500);
+    /// Interval at which endpoints announce themselves, approximately.
+    duration announcement_interval = std::chrono::milliseconds(1'200);
     /// Interval of reading the report of an engine whose lease this host holds.
     duration report_interval = std::chrono::milliseconds(600);
     /// Time within which a probed endpoint must answer: many round trips to another zone.
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -230,7 +230,7 @@
 template <entry_platform Platform>
 void entry_node<Platform>::on_listing_renewed()
 {
-    software_.on_listing(*catalog_.listed_at());
+    software_.on_listing(*catalog_.listed_at(), catalog_.position());
     context_.wake_listing_waiters();
 }
 
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -5,6 +5,7 @@
 #include <marjorampath/deployment/adapter_version.hpp>
 #include <marjorampath/deployment/deployment.hpp>
 #include <marjorampath/deployment/endpoint_announcement.hpp>
+#include <marjorampath/deployment/endpoint_history.hpp>
 #include <marjorampath/operator_data/operator_position.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -60,11 +61,20 @@
     std::vector<std::string> ignored;
 };
 
+/// The result of reading past changes of endpoints' entries.
+struct endpoint_history_read
+{
+    /// Set if the read failed; `history_lost` if the store no longer has all of them.
+    std::error_code error;
+    endpoint_history history;
+};
+
 /// A source of an entry host's view of the platform: the endpoints, the operator's
 /// configuration and the adapter versions. It reads them from the store, and writes and
 /// parses the copies that hosts relay to each other.
 template <class Source>
 concept entry_view_source = requires(Source& source, store_position position,
+                                     std::uint64_t revision,
                                      std::chrono::milliseconds wait,
                                      operator_position known, std::string const& relayed)
 {
@@ -72,6 +82,11 @@
     {
         source.read_endpoints()
         } -> std::same_as<boost::asio::awaitable<endpoint_listing>>;
+    // Reads the changes of endpoints' entries behind a revision, at least up to a
+    // position
+    {
+        source.read_endpoint_history(revision, position)
+        } -> std::same_as<boost::asio::awaitable<endpoint_history_read>>;
     // Reads all that the operator has published
     {
         source.read_operator()
--- a/serving/remote/http_reader.cpp
+++ b/serving/remote/http_reader.cpp
@@ -37,6 +37,8 @@
         return remote_error::not_found;
     case http::status::not_modified:
         return remote_error::not_modified;
+    case http::status::gone:
+        return remote_error::history_lost;
     case http::status::too_many_requests:
         return remote_error::rate_limited;
     default:
--- a/serving/remote/remote_error.cpp
+++ b/serving/remote/remote_error.cpp
@@ -33,7 +33,7 @@
         case remote_error::history_changed:
             return "the store was restored from a copy meanwhile";
         case remote_error::history_lost:
-            return "answer from before the store was restored";
+            return "changes that the store no longer has";
         }
         return "unknown error";
     }
--- a/serving/remote/remote_error.hpp
+++ b/serving/remote/remote_error.hpp
@@ -21,7 +21,8 @@
     /// The store was restored from a copy since the position that was asked for, or while
     /// its pages were read.
     history_changed,
-    /// The answer is from before the store was restored from a copy.
+    /// The store no longer has the changes that were asked for (410), or the answer is
+    /// from before it was restored from a copy.
     history_lost
 };
 
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -202,6 +202,12 @@
                 "An engine was asked which prompt parts it keeps, because callers "
                 "continue streams whose origin no host remembers; `parts` is -1 if it "
                 "did not answer."},
+    event_entry{
+        endpoint_history_read, info, "endpoint_history_read",
+        "The store's past changes of endpoints' entries were read, because a "
+        "caller continues a stream from before this host's first listing. With an "
+        "error, or if they do not reach back far enough, such streams are "
+        "refused."},
     event_entry{load_asked, info, "load_asked",
                 "The lease holder of an engine was sent a load request for an adapter."},
     event_entry{
@@ -242,8 +248,9 @@
                 "whether it ran."},
     event_entry{stream_resumed, info, "stream_resumed",
                 "A caller continues a stream. `software` is the version that began it; "
-                "`source` says how it was found: the service has had only this version, "
-                "or a host remembered it. With `source` none the request is refused."},
+                "`source` says how it was found: a host remembered it, the service has "
+                "had only this version since the stream began, or engines of only this "
+                "version keep its prompt. With `source` none the request is refused."},
     event_entry{request_forwarded, info, "request_forwarded",
                 "This host reaches no endpoint of the service, and another host, `peer`, "
                 "was to serve the request; its log has the same id. `end` says how."},
--- a/serving/telemetry/event_catalogue.hpp
+++ b/serving/telemetry/event_catalogue.hpp
@@ -93,6 +93,7 @@
     service_reachable = 516,
     pause_requested = 517,
     kept_parts_read = 518,
+    endpoint_history_read = 519,
     load_asked = 520,
     load_decided = 521,
     order_given = 522,
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -410,8 +410,9 @@
         .find_stream = [this](stream_id stream, std::uint64_t number)
         { return find_stream(stream, number); },
         .request_listing = [this](time_point since) { return request_listing(since); },
-        .only_software_version = [this](service_id) { return only_software_version; },
-        .judge_origin =
+        .judge_versions = [this](stream_question const&)
+        { return origin_judgement{.software_version = only_software_version}; },
+        .judge_kept_parts =
             [this](stream_question const& question)
         {
             questions.push_back(question);
--- a/tests/unit/platform/store_client_test.cpp
+++ b/tests/unit/platform/store_client_test.cpp
@@ -192,6 +192,53 @@
     BOOST_TEST((relayed.endpoints[1].position == listing.endpoints[1].position));
 }
 
+// Guards against processes of endpoints that ended unseen before a host's first listing
+BOOST_AUTO_TEST_CASE(the_history_shows_entries_that_were_overwritten_or_removed)
+{
+    auto const write = [this](std::string const& name, std::string const& version)
+    {
+        call_store("/standin/put?key=servers/" + name,
+                   fmt::format(R"({{"service":"s","address":"10.1.0.9:8080","zone":"z",
+                                   "version":"{}","slots":6,"state":"ready",
+                                   "coldLeftMs":0,"sequence":4,"born":17}})",
+                               version));
+    };
+    write("i-1", "v1");
+    write("i-1", "v2");
+    write_version("a1", 1);
+    call_store("/standin/put?key=servers/odd", "?");
+    call_store("/standin/delete?key=servers/i-1");
+    write("i-2", "v2");
+    auto client = make_client();
+    auto const listed = run(client.read_endpoints()).position;
+    auto const read = run(client.read_endpoint_history(0, listed));
+    BOOST_REQUIRE(!read.error);
+    BOOST_TEST((read.history.until == listed));
+    auto const& changes = read.history.changes;
+    BOOST_REQUIRE(changes.size() == 4U);
+    BOOST_REQUIRE(changes[0].entry);
+    BOOST_TEST(changes[0].entry->software_version == "v1");
+    BOOST_TEST(changes[0].created);
+    BOOST_REQUIRE(changes[1].entry);
+    BOOST_TEST(changes[1].entry->software_version == "v2");
+    BOOST_TEST(!changes[1].created);
+    BOOST_TEST(!changes[2].entry);
+    BOOST_TEST((changes[2].id == endpoint_id::of("i-1")));
+    BOOST_REQUIRE(changes[3].entry);
+    BOOST_TEST((changes[0].position < changes[1].position));
+    BOOST_TEST((changes[3].position == listed));
+
+    // Changes of another era are not those before the listing
+    auto const other = run(client.read_endpoint_history(
+        0, {.era = listed.era + 1, .revision = listed.revision}));
+    BOOST_TEST((other.error == serving::remote_error::history_changed));
+
+    // The store never had a later revision
+    auto const later = run(client.read_endpoint_history(
+        listed.revision + 10, {.era = listed.era, .revision = listed.revision + 20}));
+    BOOST_TEST((later.error == serving::remote_error::history_lost));
+}
+
 // The revision of such a watch may exist again, and then its answer lacks the changes
 // below it
 BOOST_AUTO_TEST_CASE(a_watch_of_a_lost_history_does_not_go_on)
--- a/tests/unit/stream_origin/origin_evidence_test.cpp
+++ b/tests/unit/stream_origin/origin_evidence_test.cpp
@@ -29,6 +29,13 @@
 
 struct evidence_fixture
 {
+    // The host has listed the engines for a minute
+    evidence_fixture()
+    {
+        for (auto at = now - 1min; at <= now; at += 1s)
+            history.on_listing(at, {});
+    }
+
     void start(std::uint32_t index, std::string const& version)
     {
         change(index, version, endpoint_change::appeared);
@@ -155,6 +162,20 @@
     BOOST_TEST(evidence.begin_round(models, endpoints, now + 9s).empty());
 }
 
+// Guards against a stream that goes on at the version of a later request of its session,
+// as its own version ended before the host's first listing (review/2)
+BOOST_AUTO_TEST_CASE(nothing_is_certain_about_a_stream_from_before_the_first_listing)
+{
+    history = software_history(30s);
+    history.on_listing(now, {});
+    start(0, "v1");
+    answer(0, {{part}});
+    BOOST_TEST(!find());
+    now += 4s;
+    answer(0, {{part}});
+    BOOST_TEST(find().value_or("") == "v1");
+}
+
 // Engines of two or three versions run streams of sessions and single requests, are
 // replaced and start again; then all hosts are lost and know only what engines keep
 BOOST_AUTO_TEST_CASE(no_stream_is_joined_from_two_versions_after_the_loss_of_all_hosts)
@@ -190,7 +211,8 @@
             origins[stream] = last.version;
         }
 
-        // A host starts and lists the engines; some end while it asks them
+        // Some end before a host starts, which reads so in the store's history, and lists
+        // the others; some end while it asks them
         software_history history(30s);
         origin_evidence evidence({});
         origin_evidence::endpoint_map endpoints;
@@ -202,15 +224,35 @@
                                          .software_version = machines[index].version,
                                          .service = models};
         };
+        auto const calm = seed % 2 == 0;
+        endpoint_history past;
+        std::set<std::uint32_t> ended;
+        for (std::uint32_t index = 0; index < machines.size(); ++index)
+            past.changes.push_back({.position = {.revision = ++past.until.revision},
+                                    .id = engine(index),
+                                    .entry = announced(index),
+                                    .created = true});
+        for (std::uint32_t index = 0; index < machines.size(); ++index)
+            if (!calm && draw(12) == 0)
+            {
+                ended.insert(index);
+                past.changes.push_back({.position = {.revision = ++past.until.revision},
+                                        .id = engine(index)});
+            }
+        history.on_listing(now, past.until);
+        history.on_history(past, now, wall_milliseconds(1'000'000'000));
         for (std::uint32_t index = 0; index < machines.size(); ++index)
         {
+            if (ended.contains(index))
+                continue;
             endpoints[engine(index)] = announced(index);
             history.on_endpoint(
                 {.change = endpoint_change::appeared, .endpoint = announced(index)}, now);
         }
-        auto const calm = seed % 2 == 0;
         for (std::uint32_t index = 0; index < machines.size(); ++index)
         {
+            if (ended.contains(index))
+                continue;
             if (!calm && draw(12) == 0)
             {
                 // It ends before it answers
