Make orders valid only for the engine state that they were planned for

Cause: an order said nothing of the state that it was planned for, so that any order was executed whenever it arrived.

Change: an order names the number of orders that the engine had accepted when it was planned (precondition); the engine refuses it once it has accepted another one. Reports that show fewer orders are from before the last one and are ignored for up to 2 s. Orders of others discard what is pending, as it was planned before them. The stand-in of an engine counts accepted orders and refuses by them.

--- a/marjorampath/adapter_load/engine_report.hpp
+++ b/marjorampath/adapter_load/engine_report.hpp
@@ -3,6 +3,7 @@
 #include <marjorampath/deployment/endpoint_announcement.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
     std::vector<versioned_adapter> adapters;
     /// Adapters being loaded.
     std::vector<versioned_adapter> loading_adapters;
+    /// Number of orders that its process has accepted; unset if it does not tell.
+    std::optional<std::uint64_t> order_count;
 };
 
 } // namespace marjorampath
--- a/marjorampath/adapter_load/load_planner.cpp
+++ b/marjorampath/adapter_load/load_planner.cpp
@@ -64,6 +64,7 @@
         target.reported = false;
         target.pending_orders.clear();
         target.adapters.clear();
+        target.order_count.reset();
     }
     target.fencing_number = fencing_number;
 }
@@ -288,7 +289,10 @@
         if (!accepts_orders(target, now))
             continue;
         plan_model(target);
-        if (target.order_in_progress || target.pending_orders.empty())
+        if (target.order_in_progress)
+            continue;
+        discard_oversized_load(target);
+        if (target.pending_orders.empty())
             continue;
         target.order_in_progress = true;
         orders.push_back(make_order(id, target, target.pending_orders.front(), now));
@@ -296,6 +300,15 @@
     return orders;
 }
 
+void load_planner::discard_oversized_load(engine& target) const
+{
+    auto const* service = definition(target);
+    if (service && !target.pending_orders.empty() &&
+        target.pending_orders.front().kind == order_kind::load_adapter &&
+        target.adapters.size() > service->adapter_slots)
+        discard_pending_orders(target);
+}
+
 planned_order load_planner::make_order(endpoint_id id, engine const& target,
                                        pending_order const& next, time_point now) const
 {
@@ -306,6 +319,7 @@
                         .adapter = {},
                         .version = 0,
                         .fencing_number = target.fencing_number,
+                        .order_count = target.order_count,
                         .basis = make_basis(target, next.model_or_adapter, now)};
     if (next.kind == order_kind::load_model)
         return order;
@@ -348,7 +362,11 @@
         target.pending_orders.pop_front();
 
     if (result == order_result::accepted || result == order_result::already_done)
-        return apply_order(target, order, result == order_result::already_done, now);
+    {
+        auto const already_done = result == order_result::already_done;
+        count_order(target, order, already_done, now);
+        return apply_order(target, order, already_done, now);
+    }
 
     // The engine's state may differ from the assumed one: discard the pending orders and
     // wait for the next report. Loads of new versions are not planned again before the
@@ -361,11 +379,25 @@
     }
     discard_pending_orders(target);
     target.reported = false;
+    target.order_count.reset();
     target.reports_valid_from = now;
     if (result == order_result::unknown)
         target.reports_valid_from = now + options_.report_lag;
 }
 
+void load_planner::count_order(engine& target, planned_order const& order,
+                               bool already_done, time_point now)
+{
+    if (!order.order_count)
+        return;
+    // An adapter that no request uses is unloaded at once; a load that was already done
+    // is not counted
+    auto const counts = !already_done || order.kind == order_kind::unload_adapter;
+    target.order_count =
+        std::max(target.order_count.value_or(0), *order.order_count + (counts ? 1 : 0));
+    target.last_accepted_at = now;
+}
+
 void load_planner::apply_order(engine& target, planned_order const& order,
                                bool already_done, time_point now)
 {
--- a/marjorampath/adapter_load/load_planner.hpp
+++ b/marjorampath/adapter_load/load_planner.hpp
@@ -27,8 +27,9 @@
 /// adapter with the lowest decayed request count, but never one that is in use, whose
 /// expected load end is not yet `eviction_grace` ago, or that the engine has not reported
 /// as loaded. An engine is never sent more adapters than it has slots for, even if
-/// messages are lost: after an order without an answer, the adapter counts as occupying
-/// its slot until a later report shows otherwise.
+/// messages are lost or late: after an order without an answer, the adapter counts as
+/// occupying its slot until a later report shows otherwise, and each order is only valid
+/// for the number of accepted orders that it was planned for.
 class load_planner
 {
 public:
@@ -156,6 +157,10 @@
         time_point reports_valid_from{};
         // When the last report was requested
         std::optional<time_point> last_report_at;
+        // Number of orders that it has accepted; unset until a report tells
+        std::optional<std::uint64_t> order_count;
+        // When it accepted the last order of this host
+        time_point last_accepted_at;
         // Whether it is executing an order for a base model
         bool is_loading_model = false;
         // Loaded base models
@@ -174,6 +179,10 @@
         std::map<host_id, host_usage> usages;
     };
 
+    // Whether a report is older than the last order that the engine accepted; otherwise
+    // notes its number of orders
+    [[nodiscard]] bool is_outdated(engine& target, engine_report const& report,
+                                   time_point requested_at) const;
     // Keeps the adapters whose orders a report that was requested at this time may not
     // show
     void keep_recent_orders(engine& target, adapter_map const& known,
@@ -216,6 +225,9 @@
     // Whether an order for an adapter is pending or in progress
     [[nodiscard]] static bool has_pending_order(engine const& target,
                                                 std::string const& adapter);
+    // Discards the pending orders if the next one is a load for which there is no slot:
+    // a report since it was planned may show others in its place
+    void discard_oversized_load(engine& target) const;
     // Discards the orders that were not sent and the adapters that they would load
     static void discard_pending_orders(engine& target);
     // Creates the order to send for a pending one
@@ -225,6 +237,9 @@
     // What is known about an engine before an order for an adapter is sent
     [[nodiscard]] order_basis make_basis(engine const& target, std::string const& adapter,
                                          time_point now) const;
+    // Counts an order that the engine accepted
+    static void count_order(engine& target, planned_order const& order, bool already_done,
+                            time_point now);
     // Applies an order to an engine's state; `already_done` is true for
     // `order_result::already_done`
     void apply_order(engine& target, planned_order const& order, bool already_done,
--- a/marjorampath/adapter_load/load_planner_options.hpp
+++ b/marjorampath/adapter_load/load_planner_options.hpp
@@ -38,6 +38,9 @@
     duration usage_expiry = std::chrono::seconds(3);
     /// Time until an order shows in the engine's reports.
     duration report_lag = std::chrono::milliseconds(500);
+    /// Greatest age of the state that a report shows. A lower number of orders than
+    /// expected is only believed after it.
+    duration max_report_age = std::chrono::seconds(2);
     /// Maximum number of pending orders for one engine.
     std::size_t max_pending_orders = 16;
 };
--- a/marjorampath/adapter_load/load_planner_reports.cpp
+++ b/marjorampath/adapter_load/load_planner_reports.cpp
@@ -24,11 +24,16 @@
         requested_at < found->second.reports_valid_from)
         return;
     auto& target = found->second;
+    if (is_outdated(target, report, requested_at))
+        return;
     target.reported = true;
     target.is_loading_model = report.is_loading_model;
     target.models = report.models;
     target.last_report_at = requested_at;
 
+    // A report that counts orders shows all unloads that this host knows of
+    if (report.order_count)
+        target.unloaded.clear();
     auto const known = std::exchange(target.adapters, {});
     keep_recent_orders(target, known, requested_at);
     for (auto const& adapter : report.adapters)
@@ -38,6 +43,19 @@
         on_reported_loading(target, adapter, now);
 }
 
+bool load_planner::is_outdated(engine& target, engine_report const& report,
+                               time_point requested_at) const
+{
+    if (target.order_count && report.order_count < target.order_count &&
+        requested_at < target.last_accepted_at + options_.max_report_age)
+        return true;
+    // Orders that this host did not send have changed what the pending ones rest on
+    if (target.order_count && target.order_count != report.order_count)
+        discard_pending_orders(target);
+    target.order_count = report.order_count;
+    return false;
+}
+
 void load_planner::keep_recent_orders(engine& target, adapter_map const& known,
                                       time_point requested_at) const
 {
--- a/marjorampath/adapter_load/planned_order.hpp
+++ b/marjorampath/adapter_load/planned_order.hpp
@@ -4,6 +4,7 @@
 #include <marjorampath/core/identifier.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,6 +43,10 @@
     std::uint64_t version = 0;
     /// Fencing number of the lease under which the order is sent.
     std::uint64_t fencing_number = 0;
+    /// Number of orders that the engine has accepted before this one. It refuses the
+    /// order if it has accepted others since, so that an order which arrives late changes
+    /// nothing. Unset if the engine does not count them.
+    std::optional<std::uint64_t> order_count;
     /// The engine's state that the order was planned for; not sent.
     order_basis basis;
 };
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -216,7 +216,9 @@
     event_entry{
         order_given, info, "order_given",
         "An order to load or unload an adapter was sent to an engine; `result` is "
-        "its outcome. `occupied` of `slots` adapter slots counted as taken before it; "
+        "its outcome. It is valid for `order_count` orders that the engine has "
+        "accepted (-1: any number); `conflict` tells of others. `occupied` of `slots` "
+        "adapter slots counted as taken before it; "
         "`reported` is the adapter's state in the engine's last report, of "
         "`report_age_ms` before (-1: none)."},
     event_entry{engine_reported, info, "engine_reported",
--- a/tests/unit/adapter_load/load_planner_test.cpp
+++ b/tests/unit/adapter_load/load_planner_test.cpp
@@ -27,30 +27,35 @@
     order_result execute(planned_order const& order, time_point now)
     {
         complete_loads(now);
+        if (order.order_count && *order.order_count != order_count_)
+            return order_result::conflict;
         if (order.kind == order_kind::unload_adapter)
         {
-            held_.erase(order.adapter);
+            order_count_ += held_.erase(order.adapter);
             record_state(now);
             return order_result::already_done;
         }
         if (held_.contains(order.adapter) || coming_.contains(order.adapter))
             return order_result::already_done;
+        ++order_count_;
         coming_[order.adapter] = now + load_time;
         too_many_adapters |= held_.size() + coming_.size() > slot_count;
         record_state(now);
         return order_result::accepted;
     }
 
-    // The state of `lag` ago, at most 300 ms in these tests
+    // The state of `lag` ago
     engine_report report(time_point now, duration lag)
     {
         complete_loads(now);
         engine_report found{.endpoint = endpoint_id::of(engine_name), .started_at_ms = 1};
         found.models = {"m"};
+        found.order_count = 0;
         for (auto const& state : history_)
         {
             if (state.at > now - lag)
                 break;
+            found.order_count = state.order_count;
             found.adapters = state.adapters;
             found.loading_adapters = state.loading_adapters;
         }
@@ -70,6 +75,7 @@
     struct state
     {
         time_point at;
+        std::uint64_t order_count = 0;
         std::vector<versioned_adapter> adapters;
         std::vector<versioned_adapter> loading_adapters;
     };
@@ -92,7 +98,10 @@
 
     void record_state(time_point now)
     {
-        state seen{.at = now, .adapters = {}, .loading_adapters = {}};
+        state seen{.at = now,
+                   .order_count = order_count_,
+                   .adapters = {},
+                   .loading_adapters = {}};
         for (auto const& name : held_)
             seen.adapters.push_back({.name = name, .version = 1});
         for (auto const& [name, ready] : coming_)
@@ -102,6 +111,8 @@
             history_.pop_front();
     }
 
+    // Number of orders that it has accepted
+    std::uint64_t order_count_ = 0;
     std::set<std::string> held_;
     std::map<std::string, time_point> coming_;
     std::deque<state> history_;
@@ -340,6 +351,113 @@
     }
 }
 
+// Guards against an order that was given up and is delivered after its place was given
+// away (review/1): a connection's reset may be lost too
+BOOST_AUTO_TEST_CASE(an_order_that_arrives_late_is_refused)
+{
+    take_lease();
+    for (std::uint32_t index = 0; index < slot_count - 1; ++index)
+    {
+        request_load(fmt::format("m/a{}", index));
+        execute_orders();
+        now += 300ms;
+    }
+    request_load("m/late");
+    auto const late = planner.next_orders(now).at(0);
+    now += 600ms;
+    planner.on_order_done(late, order_result::unknown, now);
+    now += 600ms;
+    read_report();
+    BOOST_TEST(request_load("m/next"));
+    execute_orders();
+    BOOST_TEST((engine.execute(late, now) == order_result::conflict));
+    BOOST_TEST(!engine.too_many_adapters);
+}
+
+// Guards against a place that is given away by a report from before the last order
+BOOST_AUTO_TEST_CASE(a_report_from_before_the_last_order_is_ignored)
+{
+    take_lease();
+    for (std::uint32_t index = 0; index < slot_count; ++index)
+    {
+        request_load(fmt::format("m/a{}", index));
+        execute_orders();
+        now += 300ms;
+    }
+    now += 300ms;
+    read_report(1s);
+    BOOST_TEST(planner.status_of(announced.id, now)->free_adapter_slots == 0U);
+
+    // An engine that never shows the order is believed in the end
+    auto report = engine.report(now, 0ms);
+    report.adapters.clear();
+    *report.order_count -= 1;
+    now += 2s;
+    planner.on_report(report, now, now);
+    BOOST_TEST(planner.status_of(announced.id, now)->free_adapter_slots == slot_count);
+}
+
+// Two hosts take turns with the lease, each with its view of before, while orders of both
+// are held up and delivered later, and reports are old
+BOOST_AUTO_TEST_CASE(an_engine_never_exceeds_its_adapter_slots_when_orders_are_late)
+{
+    constexpr std::uint32_t seeds = 300;
+    constexpr int steps = 1'000;
+    std::size_t late_orders = 0;
+    std::size_t loads = 0;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+    {
+        std::mt19937 random(seed);
+        planner_fixture first;
+        planner_fixture second;
+        auto& engine = first.engine;
+        auto now = first.now;
+        std::vector<planned_order> held;
+        first.take_lease();
+        for (int step = 0; step < steps; ++step)
+        {
+            now += std::chrono::milliseconds(1 + random() % 60);
+            if (!held.empty() && random() % 15 == 0)
+            {
+                auto const index = random() % held.size();
+                engine.execute(held[index], now);
+                held.erase(held.begin() + static_cast<std::ptrdiff_t>(index));
+                ++late_orders;
+            }
+            for (auto* each : {&first, &second})
+            {
+                each->now = now;
+                if (random() % 80 == 0)
+                    each->planner.on_lease(each->announced.id, 6, random() % 2 == 0, now);
+                if (random() % 80 == 0)
+                    each->planner.on_lease_lost(each->announced.id);
+                each->request_load(fmt::format("m/a{}", random() % 30));
+                for (auto const& order : each->planner.next_orders(now))
+                {
+                    auto const fault = random() % 10;
+                    auto result = order_result::unknown;
+                    if (fault < 2)
+                        held.push_back(order);
+                    else
+                        result = engine.execute(order, now);
+                    if (fault == 2)
+                        result = order_result::unknown;
+                    loads += result == order_result::accepted ? 1U : 0U;
+                    each->planner.on_order_done(order, result, now);
+                }
+                if (random() % 8 == 0)
+                    each->planner.on_report(
+                        engine.report(now, std::chrono::milliseconds(random() % 1'500)),
+                        now, now);
+            }
+        }
+        BOOST_TEST(!engine.too_many_adapters, "seed " << seed);
+    }
+    BOOST_TEST_MESSAGE(loads << " loads, " << late_orders << " late orders");
+    BOOST_TEST(loads > seeds * 10);
+    BOOST_TEST(late_orders > seeds);
+}
+
 // Loads take up to ten times as long as expected when many engines load at once
 BOOST_AUTO_TEST_CASE(an_engine_never_exceeds_its_adapter_slots_when_loads_are_slow)
 {
