Read answers strictly before anything of them is passed on

What callers saw (MIXED): an engine in trouble sent an answer with the status 000, and they got it.

Cause: four readers relied on the HTTP parser, which accepts more than RFC 9110 and RFC 9112 allow: any status of three digits, any version, folded lines, doubled lengths, codings that are not decoded; it takes an interim answer for the final one. In the reader of the store the final answer was then left for the next request.

Change: check_answer_head decides on a head before the parser gets it, for engines, plain services, orders, reports, probes, hosts that pass requests on, copies of the store and the store. Interim answers are skipped, 8 at most; 101 is a failure. What is invalid is the engine's failure with the outcome unknown, and its connection is closed. Answers that are ambiguous about attempt, seal or X-Not-Executed, or that have a Content-Encoding, are not passed on.

--- a/serving/endpoint/answer_reader.cpp
+++ b/serving/endpoint/answer_reader.cpp
@@ -1,9 +1,11 @@
 #include <serving/endpoint/answer_reader.hpp>
+#include <serving/remote/answer_head.hpp>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <string_view>
 #include <utility>
 
 namespace marjorampath::serving
@@ -26,8 +28,36 @@
     parser_.eager(true);
 }
 
+error_code answer_reader::check_head()
+{
+    while (auto const size = find_head_end(unparsed_))
+    {
+        auto const check =
+            check_answer_head(std::string_view(unparsed_).substr(0, *size));
+        if (check.error)
+            return check.error;
+        if (!check.interim)
+        {
+            head_checked_ = true;
+            return {};
+        }
+        unparsed_.erase(0, *size);
+        if (++interim_answers_ > max_interim_answers)
+            return http::error::header_limit;
+    }
+    if (unparsed_.size() > max_answer_head_bytes)
+        return http::error::header_limit;
+    return {};
+}
+
 error_code answer_reader::parse(std::string& output)
 {
+    if (!head_checked_)
+    {
+        auto const failed = check_head();
+        if (failed || !head_checked_)
+            return failed;
+    }
     parser_.get().body().output = &output;
     error_code error;
     std::size_t parsed = 0;
@@ -64,6 +94,7 @@
     if (error)
         co_return error;
 
+    got_some_ = true;
     unparsed_.append(buffer_.data(), size);
     co_return parse(output);
 }
@@ -71,7 +102,8 @@
 asio::awaitable<error_code> answer_reader::read_head()
 {
     error_code error;
-    if (!unparsed_.empty())
+    got_some_ = !unparsed_.empty();
+    if (got_some_)
         error = parse(buffered_body_);
     while (!error && !parser_.is_header_done())
         error = co_await read_and_parse(buffered_body_);
--- a/serving/endpoint/answer_reader.hpp
+++ b/serving/endpoint/answer_reader.hpp
@@ -26,9 +26,10 @@
 /// Maximum size of a line between two chunks of an answer, and of its trailer, in bytes.
 inline constexpr std::size_t max_chunk_line_bytes = 16'384;
 
-/// Reads one HTTP answer of an endpoint piece by piece, with bounded memory use. Fails
-/// with `header_limit` or `buffer_overflow` if its head, or what stands between chunks,
-/// exceeds its limit.
+/// Reads one HTTP answer of an endpoint piece by piece, with bounded memory use. Skips
+/// interim answers before it. Fails with `header_limit` or `buffer_overflow` if its head,
+/// or what stands between chunks, exceeds its limit, and with another error if its head
+/// is invalid by `check_answer_head`.
 class answer_reader
 {
 public:
@@ -101,7 +102,7 @@
     /// Whether any byte of the answer was received.
     [[nodiscard]] bool got_some() const
     {
-        return parser_.got_some();
+        return got_some_;
     }
 
     /// Whether the connection can be used for another request after this answer.
@@ -111,6 +112,10 @@
     }
 
 private:
+    // Checks the head, without which nothing is parsed, and removes interim answers;
+    // leaves `head_checked_` unset if it is not complete
+    boost::system::error_code check_head();
+
     // Reads from the connection and parses; appends bytes of the body to `output`
     boost::asio::awaitable<boost::system::error_code> read_and_parse(std::string& output);
 
@@ -122,6 +127,12 @@
     // Received bytes that the parser has not consumed: an incomplete element, or bytes
     // after the end of the answer
     std::string unparsed_;
+    // Whether any byte was received
+    bool got_some_ = false;
+    // Whether the head is complete and valid
+    bool head_checked_ = false;
+    // Interim answers that were skipped
+    unsigned interim_answers_ = 0;
     // Read buffer
     std::array<char, answer_read_bytes> buffer_;
     // Bytes of the body that arrived with the head
--- a/serving/endpoint/http_fetch.cpp
+++ b/serving/endpoint/http_fetch.cpp
@@ -57,8 +57,8 @@
     http::response_parser<http::string_body> parser;
     parser.header_limit(max_head_bytes);
     parser.body_limit(options.max_body_bytes);
-    result.received =
-        co_await read_message(stream, buffer, parser, options.progress_timeout, error);
+    result.received = co_await read_message(stream, buffer, parser, max_head_bytes,
+                                            options.progress_timeout, error);
     if (!error)
         result.answer = parser.release();
     co_return result;
--- a/serving/entry/entry_node_relay.inl
+++ b/serving/entry/entry_node_relay.inl
@@ -112,8 +112,9 @@
 {
     auto const text = fetched.answer[name];
     std::uint64_t number = 0;
-    auto const read = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (text.empty() || read.ec != std::errc{})
+    auto const* end = text.data() + text.size();
+    auto const read = std::from_chars(text.data(), end, number);
+    if (text.empty() || read.ec != std::errc{} || read.ptr != end)
         return std::nullopt;
     return number;
 }
--- a/serving/remote/http_reader.cpp
+++ b/serving/remote/http_reader.cpp
@@ -104,8 +104,8 @@
     parser.body_limit(options_.max_body_bytes);
     limit_unparsed(buffer_, max_head_bytes, large_read_ahead_bytes);
     if (!error)
-        result.received =
-            co_await read_message(stream_, buffer_, parser, options_.timeout, error);
+        result.received = co_await read_message(stream_, buffer_, parser, max_head_bytes,
+                                                options_.timeout, error);
     if (error)
     {
         close();
