Take an answer without a length for broken if its connection is reset behind the end

Cause: behind an orderly end a read reports the end, also if a reset followed; the reset shows only on the writing side.

Change: where the end of the connection ends an answer, the socket's pending error and its unacknowledged bytes count too.

--- a/serving/endpoint/answer_reader.cpp
+++ b/serving/endpoint/answer_reader.cpp
@@ -5,7 +5,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <linux/sockios.h>
 #include <string_view>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace marjorampath::serving
@@ -18,6 +21,19 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// Whether the endpoint has reset a connection, or closed it before it received all that
+// was written. Reading alone shows an orderly end if the reset follows it
+bool is_broken(asio::ip::tcp::socket& socket)
+{
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    int unacknowledged = 0;
+    auto const handle = socket.native_handle();
+    return (::getsockopt(handle, SOL_SOCKET, SO_ERROR, &failure, &size) == 0 &&
+            failure != 0) ||
+           (::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
+}
+
 } // namespace
 
 answer_reader::answer_reader(endpoint_connection connection, std::string initial_bytes)
@@ -88,6 +104,8 @@
     if (error == asio::error::eof && parser_.is_header_done())
     {
         // The end of an answer that has no length, or of a truncated one (put_eof fails)
+        if (!is_framed() && is_broken(*connection_))
+            co_return asio::error::connection_reset;
         parser_.put_eof(error);
         co_return error ? error : error_code();
     }
--- a/tests/unit/entry/entry_answer_syntax_test.cpp
+++ b/tests/unit/entry/entry_answer_syntax_test.cpp
@@ -2,6 +2,9 @@
 #include <tests/unit/entry/entry_fixture.hpp>
 #include <tests/unit/entry/invalid_answers.hpp>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
 #include <algorithm>
 #include <random>
 #include <regex>
@@ -153,6 +156,52 @@
     return text;
 }
 
+// An endpoint that answers before it has read the request's body, and then resets the
+// connection
+class early_endpoint
+{
+public:
+    early_endpoint(asio::io_context& loop, std::string answer, bool ends_first)
+        : acceptor_(loop), answer_(std::move(answer)), ends_first_(ends_first)
+    {
+        acceptor_.open(tcp::v4());
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(receive_bytes));
+        acceptor_.bind({asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen();
+        asio::co_spawn(loop, serve(), asio::detached);
+    }
+
+    [[nodiscard]] std::uint16_t port() const
+    {
+        return acceptor_.local_endpoint().port();
+    }
+
+private:
+    static constexpr int receive_bytes = 4'096;
+
+    asio::awaitable<void> serve()
+    {
+        while (true)
+        {
+            auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
+            std::array<char, 512> bytes{};
+            co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(answer_),
+                                       asio::use_awaitable);
+            if (ends_first_)
+                socket.shutdown(tcp::socket::shutdown_send);
+            asio::steady_timer timer(socket.get_executor(), 30ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    std::string answer_;
+    // Whether the connection seems to end in order before the reset
+    bool ends_first_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(entry_answer_syntax)
@@ -250,6 +299,39 @@
     }
 }
 
+// A reset that follows an orderly end shows only where the body is written
+BOOST_DATA_TEST_CASE(an_early_answer_whose_connection_is_reset_is_not_whole,
+                     boost::unit_test::data::make({false, true}), ends_first)
+{
+    constexpr std::array<std::size_t, 3> body_sizes{16'384, 262'144, 4'000'000};
+    for (auto const size : body_sizes)
+        for (auto const* path : {"/unsafe/x", "/safe/x", "/stream/x"})
+        {
+            // A stream seems whole behind its last event
+            std::string const part = path == std::string_view("/stream/x") ? "" : "part";
+            entry_fixture entry({}, {});
+            entry.context.callers.limits.max_body_bytes = 8'000'000;
+            early_endpoint const endpoint(
+                entry.loop,
+                answer_of("HTTP/1.1 200 OK", {}, "\r\n" + events(1, 3) + part),
+                ends_first);
+            auto announced =
+                entry.context.dispatch.find(endpoint_id::of("i-0"))->announced;
+            announced.port = endpoint.port();
+            entry.context.dispatch.on_endpoint(
+                {.change = endpoint_change::restarted, .endpoint = announced},
+                boot_now());
+            auto const answer = entry.send_bytes(fmt::format(
+                "POST {} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 9c41\r\n"
+                "X-Deadline-Ms: 2000\r\nConnection: close\r\n"
+                "Content-Length: {}\r\n\r\n{}",
+                path, size, std::string(size, 'x')));
+            auto const received = decode(answer);
+            BOOST_TEST((!received || received->status == 502U), path << " " << size);
+            BOOST_TEST(!contains(answer, "part"), path << " " << size);
+        }
+}
+
 // Answers that are changed at random are passed on as what they say, or not at all
 BOOST_AUTO_TEST_CASE(a_changed_answer_is_passed_on_only_if_it_is_valid_and_complete)
 {
