Keep the quotas of organisations over all hosts

Cause: quotas were read from the configuration and not enforced.

Change: each host lets through its share of an organisation's token bucket, by its own demand and what the others report in their heartbeats, which gain a field. Beyond it a request gets 429 with a Retry-After at once, as not run. What certainly did not run is given back; a request that runs again counts again.

Unit tests passed.

--- a/marjorampath/core/error_kind.cpp
+++ b/marjorampath/core/error_kind.cpp
@@ -61,6 +61,8 @@
     error_answer{configuration_unconfirmed, "configuration-unconfirmed", 503,
                  outcome::not_run, true,
                  "This host cannot confirm its configuration now."},
+    error_answer{quota_exceeded, "quota-exceeded", 429, outcome::not_run, true,
+                 "The organisation has used its quota."},
     error_answer{internal, "internal", 500, outcome::unknown, false,
                  "A defect of this program."},
 };
--- a/marjorampath/core/error_kind.hpp
+++ b/marjorampath/core/error_kind.hpp
@@ -59,6 +59,8 @@
     /// This host cannot tell whether its configuration is still in force, so the caller's
     /// key may have been revoked.
     configuration_unconfirmed,
+    /// The caller's organisation has used its quota.
+    quota_exceeded,
     /// A defect in this program.
     internal
 };
--- a/marjorampath/peer/peer_heartbeat.hpp
+++ b/marjorampath/peer/peer_heartbeat.hpp
@@ -6,6 +6,7 @@
 #include <marjorampath/peer/endpoint_usage.hpp>
 #include <marjorampath/peer/engine_status.hpp>
 #include <marjorampath/peer/relayed_heartbeat.hpp>
+#include <marjorampath/quota/quota_report.hpp>
 #include <marjorampath/rate_limit/rate_limit_notice.hpp>
 #include <marjorampath/suspect/conviction.hpp>
 #include <marjorampath/suspect/part_report.hpp>
@@ -94,6 +95,8 @@
     /// Time since its configuration was certainly current; unset if it does not know or
     /// is of a build that does not say so.
     std::optional<duration> configuration_age;
+    /// Requests of organisations that ask for much of their quota.
+    std::vector<quota_report> quotas;
     /// Heartbeats of other groups' hosts that the sender passes on.
     std::vector<relayed_heartbeat> relayed;
 };
--- /dev/null
+++ b/marjorampath/quota/quota_share.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <marjorampath/core/time.hpp>
+#include <marjorampath/organisation/organisation.hpp>
+#include <marjorampath/quota/quota_report.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+
+namespace marjorampath
+{
+
+/// Settings of a host's share of a quota.
+struct quota_share_options
+{
+    /// Time over which demand and use are averaged.
+    duration averaging_time = std::chrono::seconds(1);
+    /// Time in which the hosts together use up what is left of the burst, or save what
+    /// they used too much.
+    duration drain_time = std::chrono::seconds(2);
+    /// Part of the limit by which all hosts together may exceed it.
+    double tolerance = 0;
+    /// Part of the tolerance that is used, so that fewer requests within the limit are
+    /// refused for what the hosts do not know of each other; the rest covers that.
+    double used_tolerance = 0.6;
+    /// Time for which a process that does not know the others yet may use the whole rate.
+    duration initial_time = std::chrono::milliseconds(50);
+    /// Time for whose use a process begins in debt: the averages of processes that have
+    /// started together lag behind what they use.
+    duration initial_debt = std::chrono::milliseconds(700);
+    /// Fraction of the rate that is used in any case.
+    double min_rate_fraction = 0.2;
+    /// Time until other hosts learn of a change in demand, with a margin. While the burst
+    /// would last longer at the present demand, requests are let through without a share.
+    duration report_delay = std::chrono::seconds(1);
+    /// Time after the start of the process in which the others' demand is not known yet.
+    duration settling_time = std::chrono::milliseconds(1'500);
+    /// Longest time for which an unused share of the rate is kept, besides a share of
+    /// what is left of the burst.
+    duration max_saved_time = std::chrono::milliseconds(250);
+    /// Fraction of the limit from which on a host reports its demand, if all hosts had
+    /// the same.
+    double reported_fraction = 0.6;
+};
+
+/// Requests of an organisation, in units per second.
+struct quota_demand
+{
+    double asked = 0;
+    double used = 0;
+};
+
+/// The hosts that share a quota.
+struct quota_hosts
+{
+    /// All of them, with this one and those that were lost lately.
+    std::size_t sharing = 1;
+    /// Those that this host does not hear of now: they may be cut off and go on.
+    std::size_t silent = 0;
+};
+
+/// One host's share of what an organisation's callers may send over all hosts together.
+///
+/// Each host follows the organisation's token bucket by its own use and by what the
+/// others report. While the bucket is full enough for all that is asked, requests are let
+/// through. Otherwise a host lets through the part of the rate that its callers ask for
+/// of all that is asked, so that the shares of all hosts add up to the rate, and refuses
+/// the rest. A host that is silent is taken for one with the same demand. A process that
+/// has just started begins with an empty bucket and a small share.
+class quota_share
+{
+public:
+    /// Constructs the share of a process that started at a time.
+    quota_share(quota_share_options options, time_point started_at)
+        : options_(options), started_at_(started_at), updated_at_(started_at)
+    {
+    }
+
+    /// Changes the limit; what is left of the burst is kept as far as the new one allows.
+    void set_limit(double rate, double burst, time_point now);
+
+    /// Sets what the others report.
+    void set_others(quota_demand const& others, time_point now);
+
+    /// Sets the hosts that share the quota.
+    void set_hosts(quota_hosts const& hosts, time_point now);
+
+    /// Counts a request of some units and lets it through, or returns the time until the
+    /// next one may be.
+    std::optional<duration> ask(double units, time_point now);
+
+    /// Counts units that are used without being asked for: a request runs again.
+    void charge(double units, time_point now);
+
+    /// Gives units back that were certainly not used.
+    void give_back(double units, time_point now);
+
+    /// Whether the demand is so high that the others need to know.
+    [[nodiscard]] bool is_reported(time_point now);
+
+    /// Demand and use, in units per second.
+    [[nodiscard]] quota_demand demand(time_point now);
+
+private:
+    // Brings averages, bucket and share up to a time
+    void update(time_point now);
+    // Takes units from the bucket and the share
+    void take(double units);
+    // Demand over all hosts, in units per second
+    [[nodiscard]] double total_asked(time_point now) const;
+    // This host's part of what is asked for over all hosts
+    [[nodiscard]] double part(time_point now) const;
+    // Units per second that this host may let through
+    [[nodiscard]] double share_rate(time_point now) const;
+    [[nodiscard]] bool is_settling(time_point now) const
+    {
+        return now - started_at_ < options_.settling_time;
+    }
+
+    quota_share_options options_;
+    time_point started_at_;
+    time_point updated_at_;
+    // Limit, with the part of the tolerance that is used
+    double rate_ = 0;
+    double burst_ = 0;
+    quota_hosts hosts_;
+    quota_demand others_;
+    // Units asked for and used here, as averages per second
+    quota_demand own_;
+    // What is left of the burst over all hosts; negative if too much was used
+    double level_ = 0;
+    // What is left of this host's share; a request may exceed it once
+    double share_ = 0;
+};
+
+} // namespace marjorampath
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -52,6 +52,14 @@
   adapters @4 :List(AdapterUsage);
 }
 
+struct QuotaReport {
+  # Hash of the organisation's name.
+  organisation @0 :UInt64;
+  # Units per second that callers ask for, and that the sender lets through.
+  asked @1 :UInt64;
+  used @2 :UInt64;
+}
+
 struct RateLimit {
   endpoint @0 :UInt64;
   born @1 :UInt64;
@@ -145,6 +153,7 @@
   listingEra @23 :UInt64;
   # Negative if it is not known.
   configurationAge @24 :Int64 = -1;
+  quotas @25 :List(QuotaReport);
 }
 
 struct LoadRequest {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -26,6 +26,7 @@
 CAPNP_DECLARE_SCHEMA(89022492fe0652b1);
 CAPNP_DECLARE_SCHEMA(ea93b619ed1638e5);
 CAPNP_DECLARE_SCHEMA(cdb86c6e0c714c92);
+CAPNP_DECLARE_SCHEMA(9bc8e66474c8f1db);
 CAPNP_DECLARE_SCHEMA(abdb41dcb222b28d);
 CAPNP_DECLARE_SCHEMA(e022f799a4795b16);
 CAPNP_DECLARE_SCHEMA(91c6683a75ec0c42);
@@ -139,6 +140,21 @@
   };
 };
 
+struct QuotaReport {
+  QuotaReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9bc8e66474c8f1db, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct RateLimit {
   RateLimit() = delete;
 
@@ -312,7 +328,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 12, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(971727d6bb86b28a, 12, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -992,6 +1008,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaReport::Reader {
+public:
+  typedef QuotaReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOrganisation() const;
+
+  inline  ::uint64_t getAsked() const;
+
+  inline  ::uint64_t getUsed() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaReport::Builder {
+public:
+  typedef QuotaReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getOrganisation();
+  inline void setOrganisation( ::uint64_t value);
+
+  inline  ::uint64_t getAsked();
+  inline void setAsked( ::uint64_t value);
+
+  inline  ::uint64_t getUsed();
+  inline void setUsed( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaReport::Pipeline {
+public:
+  typedef QuotaReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RateLimit::Reader {
 public:
   typedef RateLimit Reads;
@@ -2031,6 +2133,9 @@
 
   inline  ::int64_t getConfigurationAge() const;
 
+  inline bool hasQuotas() const;
+  inline  ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Reader getQuotas() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2171,6 +2276,13 @@
   inline  ::int64_t getConfigurationAge();
   inline void setConfigurationAge( ::int64_t value);
 
+  inline bool hasQuotas();
+  inline  ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Builder getQuotas();
+  inline void setQuotas( ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Builder initQuotas(unsigned int size);
+  inline void adoptQuotas(::capnp::Orphan< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>> disownQuotas();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3246,6 +3358,48 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t QuotaReport::Reader::getOrganisation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getOrganisation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setOrganisation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getAsked() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getAsked() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setAsked( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getUsed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getUsed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setUsed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t RateLimit::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4335,6 +4489,40 @@
       ::capnp::bounded<11>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline bool PeerBeat::Reader::hasQuotas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerBeat::Builder::hasQuotas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Reader PeerBeat::Reader::getQuotas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Builder PeerBeat::Builder::getQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void PeerBeat::Builder::setQuotas( ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>::Builder PeerBeat::Builder::initQuotas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void PeerBeat::Builder::adoptQuotas(
+    ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>> PeerBeat::Builder::disownQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::marjorampath::schema::QuotaReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t LoadRequest::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/serving/entry/entry_context.hpp
+++ b/serving/entry/entry_context.hpp
@@ -6,6 +6,7 @@
 #include <marjorampath/dispatch/run_times.hpp>
 #include <marjorampath/freshness/configuration_freshness.hpp>
 #include <marjorampath/peer/peer_heartbeat.hpp>
+#include <marjorampath/quota/quota_registry.hpp>
 #include <marjorampath/rate_limit/rate_limit_coordinator.hpp>
 #include <marjorampath/reachability/reach_monitor.hpp>
 #include <marjorampath/stream_origin/stream_origin.hpp>
@@ -56,6 +57,9 @@
     /// Retry-After value in the answer to a request that may not be sent again or whose
     /// adapter was not loaded in time.
     duration retry_pause = std::chrono::milliseconds(800);
+    /// Bounds of the Retry-After value in the answer to a request beyond its quota.
+    duration min_quota_pause = std::chrono::milliseconds(300);
+    duration max_quota_pause = std::chrono::seconds(4);
     /// Retry-After value in the answer to a request that this host does not take because
     /// it is shutting down: another host can take it at once.
     duration shutdown_retry_pause = std::chrono::milliseconds(50);
@@ -98,6 +102,8 @@
     connection_pool connections;
     /// Retry budgets by service.
     std::map<service_id, retry_budget> budgets;
+    /// This host's shares of the organisations' quotas.
+    quota_registry quotas;
     /// Requests that are suspected or convicted of crashing endpoints.
     suspect_registry suspects;
     /// Parts of prompts that are suspected or convicted of crashing endpoints.
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -163,6 +163,13 @@
     // Waits for a listing of the endpoints that was read after this request arrived: only
     // that one has each version that can have begun the stream. False if there is none
     boost::asio::awaitable<bool> await_listing();
+    // The caller's organisation; empty for none
+    [[nodiscard]] std::string const& quota_organisation() const;
+    // Counts the request in its organisation's quota, or returns the time after which the
+    // caller may come back
+    std::optional<duration> take_quota();
+    // Gives back what the request took if it certainly has not run
+    void give_back_quota();
     // The question for the software version that began the stream
     [[nodiscard]] stream_question make_stream_question() const;
     // Asks one kind of evidence for that version, and waits for it
@@ -265,6 +272,10 @@
     endpoint_id current_endpoint_;
     // Software version that it announced when the attempt began
     std::string current_software_version_;
+    // What it took of its organisation's quota
+    double quota_units_ = 0;
+    // Whether an endpoint ran the request to an end
+    bool has_run_ = false;
     // The stream whose origin other hosts remember, once it has begun
     std::optional<stream_id> open_stream_;
     // Hosts that the request was passed to
@@ -324,3 +335,4 @@
 #include <serving/entry/entry_exchange_forward.inl>
 #include <serving/entry/entry_exchange_limits.inl>
 #include <serving/entry/entry_exchange_origin.inl>
+#include <serving/entry/entry_exchange_quota.inl>
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -19,6 +19,8 @@
     if (!fits_before_shutdown())
         co_return co_await reject(error_kind::shutting_down,
                                   context_->times.shutdown_retry_pause);
+    if (auto const wait = take_quota())
+        co_return co_await reject(error_kind::quota_exceeded, *wait);
     events_ = event_splitter({.last_id = request_.last_event});
     auto const budget = context_->budgets.find(request_.dispatch_call.service);
     if (budget != context_->budgets.end() && !forwarded_here_)
@@ -36,6 +38,7 @@
     while (!concluded_)
         co_await step();
     release_connections();
+    give_back_quota();
     if (open_stream_)
         context_->forget_open_stream(*open_stream_);
     session_->unwatch_disconnect();
@@ -171,6 +174,8 @@
         context_->metrics.shard.latency(stall_metric)
             .record(std::chrono::duration<double>(boot_now() - begin_).count());
 
+    if (possible_runs_ > 0)
+        context_->quotas.charge(quota_organisation(), quota_units_, boot_now());
     begin_attempt();
     current_endpoint_ = endpoint.id;
     current_software_version_ = endpoint.software_version;
@@ -395,6 +400,7 @@
     switch (end)
     {
     case attempt_end::finished:
+        has_run_ = true;
         context_->measured_times.on_finished(request_.dispatch_call.service,
                                              request_.dispatch_call.kind,
                                              boot_now() - begin_);
--- a/serving/entry/entry_exchange_forward.inl
+++ b/serving/entry/entry_exchange_forward.inl
@@ -44,6 +44,7 @@
     switch (end)
     {
     case attempt_end::finished:
+        has_run_ = true;
         concluded_ = true;
         break;
     case attempt_end::unreachable:
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -81,6 +81,8 @@
             connection_pool(loop_.get_executor(),
                             {.max_idle = connections / 2, .source = settings_.outgoing}),
         .budgets = {},
+        .quotas =
+            quota_registry({.tolerance = settings_.quota_tolerance}, boot_now()),
         .suspects = suspect_registry({}),
         .parts = part_suspect_registry({}),
         .rate_limits = rate_limit_coordinator(host_id::of(settings_.host), {}),
--- a/serving/entry/entry_node_fleet.inl
+++ b/serving/entry/entry_node_fleet.inl
@@ -82,6 +82,7 @@
     heartbeat.convictions = context_.suspects.convictions(now);
     heartbeat.rate_limits = context_.rate_limits.reported(fleet_.peers(), now);
     heartbeat.parts = context_.parts.reports(now);
+    heartbeat.quotas = context_.quotas.reports(now);
     heartbeat.unreached_services = context_.reach.cut_services();
     for (auto const& [id, endpoint] : catalog_.endpoints())
     {
@@ -137,6 +138,7 @@
     for (auto const& report : heartbeat.parts)
         context_.parts.merge(report, received_at);
     log_part_convictions();
+    context_.quotas.on_reports(heartbeat.host, heartbeat.quotas, now);
 
     // The sender has nothing in flight at plain endpoints that its heartbeat does not
     // list. What it reports of engines is for the receiver alone
@@ -190,6 +192,10 @@
                             ? known.last_heartbeat.loads_in_transit
                             : 0;
     planner_.set_remote_loads(remote_loads);
+    auto const sharing = fleet_.peers().sharing_hosts();
+    auto const responsive = fleet_.peers().responsive_hosts(now);
+    context_.quotas.set_hosts(
+        {.sharing = sharing, .silent = sharing - std::min(sharing, responsive)}, now);
     for (auto const& [endpoint, hosts] : others_in_flight_)
         count_others_in_flight(endpoint, hosts);
 }
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -173,6 +173,10 @@
     context_.routes = std::make_shared<route_table const>(configuration, key_seed_);
     context_.freshness.on_configuration(configuration->version);
     log_organisation_problems(*configuration);
+    context_.quotas.set_organisations(configuration->organisations
+                                          ? configuration->organisations->organisations
+                                          : std::vector<organisation>(),
+                                      boot_now());
     context_.dispatch.set_services(configuration->services);
     planner_.set_services(configuration->services);
     auto& limits = context_.callers.limits;
--- a/serving/entry/entry_request.hpp
+++ b/serving/entry/entry_request.hpp
@@ -27,6 +27,8 @@
     std::optional<std::string> organisation;
     /// Identifier of the last event of a stream that the caller has; zero for none.
     std::uint64_t last_event = 0;
+    /// Tokens of prompt and answer, if the caller tells them.
+    std::optional<std::uint64_t> tokens;
     /// Identifier of the caller's attempt that received the first event of that stream;
     /// empty if the caller did not name it.
     std::string resumed_attempt;
--- a/serving/entry/entry_settings.cpp
+++ b/serving/entry/entry_settings.cpp
@@ -165,6 +165,7 @@
         {"retry_extra", number_field<double>(&settings::retry_extra, 0)},
         {"revocation_ms", {false, parse_revocation_bound}},
         {"revocation_margin_ms", time_field<milliseconds>(&settings::revocation_margin)},
+        {"quota_tolerance", number_field<double>(&settings::quota_tolerance, 0)},
         {"descriptors", number_field<std::uint32_t>(&settings::descriptors, 64)},
         {"log_lines_per_second",
          number_field<std::uint32_t>(&settings::log_lines_per_second, 1)},
--- a/serving/entry/entry_settings.hpp
+++ b/serving/entry/entry_settings.hpp
@@ -60,6 +60,8 @@
     /// Taken off that bound: longest time from a check of a key until the request is
     /// sent.
     duration revocation_margin = std::chrono::milliseconds(300);
+    /// Part of a quota by which all hosts together may exceed it.
+    double quota_tolerance = 0;
     /// Number of file descriptors for the connections of callers and to endpoints.
     std::uint32_t descriptors = 1'024;
     /// Largest number of log lines of one event per second.
--- a/serving/entry/peer_codec.cpp
+++ b/serving/entry/peer_codec.cpp
@@ -228,6 +228,20 @@
     value.age = std::max(duration{0}, decode_duration(wire.getAge()));
 }
 
+void encode(quota_report const& value, QuotaReport::Builder wire)
+{
+    wire.setOrganisation(value.organisation);
+    wire.setAsked(value.asked);
+    wire.setUsed(value.used);
+}
+
+void decode(QuotaReport::Reader wire, quota_report& value)
+{
+    value.organisation = wire.getOrganisation();
+    value.asked = wire.getAsked();
+    value.used = wire.getUsed();
+}
+
 void encode(peer_heartbeat const& value, PeerBeat::Builder wire)
 {
     wire.setHost(value.host.number());
@@ -258,6 +272,7 @@
     wire.setToPassOn(value.to_pass_on);
     encode_list(value.relayed, wire.initRelayed(wire_size(value.relayed)));
     wire.setConfigurationAge(encode_known_age(value.configuration_age));
+    encode_list(value.quotas, wire.initQuotas(wire_size(value.quotas)));
 }
 
 void decode(PeerBeat::Reader wire, peer_heartbeat& value)
@@ -288,6 +303,7 @@
     value.to_pass_on = wire.getToPassOn();
     decode_list(wire.getRelayed(), value.relayed);
     value.configuration_age = decode_known_age(wire.getConfigurationAge());
+    decode_list(wire.getQuotas(), value.quotas);
 }
 
 void encode(load_request const& value, LoadRequest::Builder wire)
--- a/tests/unit/entry/entry_access_test.cpp
+++ b/tests/unit/entry/entry_access_test.cpp
@@ -293,4 +293,56 @@
     BOOST_TEST(fixture.sent(1).count("X-Key") == 0U);
 }
 
+// Guards against a customer that gets more than its limit (QUOTA)
+BOOST_AUTO_TEST_CASE(a_request_beyond_its_quota_is_refused_at_once_as_not_run)
+{
+    access_fixture entry({{sealed("one")}, {sealed("two")}}, {});
+    entry.publish({{.name = "a",
+                    .keys = {"key-a"},
+                    .priority = {},
+                    .quota = {.unit = quota_unit::tokens,
+                              .rate = 10,
+                              .burst = 0,
+                              .plain_tokens = 200}},
+                   {.name = "b", .keys = {"key-b"}, .priority = {}, .quota = {}}});
+    entry.context.quotas.set_organisations(
+        entry.context.routes->source().organisations->organisations, boot_now());
+    auto const first =
+        entry.send_request(http::verb::post, unsafe_path, {{"X-Key", "key-a"}});
+    BOOST_TEST(first.ends_with("one"));
+    entry.done = false;
+    auto const refused =
+        entry.send_request(http::verb::post, unsafe_path, {{"X-Key", "key-a"}});
+    BOOST_TEST(refused.starts_with("HTTP/1.1 429"));
+    BOOST_TEST(contains(refused, "X-Outcome: not-run"));
+    BOOST_TEST(contains(refused, "Retry-After: "));
+    BOOST_TEST(entry.sends() == 1U);
+
+    // Others are served
+    entry.done = false;
+    auto const other =
+        entry.send_request(http::verb::post, unsafe_path, {{"X-Key", "key-b"}});
+    BOOST_TEST(other.ends_with("two"));
+}
+
+// A request that an endpoint refused counts for nothing
+BOOST_AUTO_TEST_CASE(a_request_that_no_endpoint_ran_is_given_back_to_its_quota)
+{
+    access_fixture entry({{.text = refused, .closes = true}, {sealed("two")}},
+                         {{.text = refused, .closes = true}});
+    entry.publish({{.name = "a",
+                    .keys = {"key-a"},
+                    .priority = {},
+                    .quota = {.unit = quota_unit::requests, .rate = 0.01}}});
+    entry.context.quotas.set_organisations(
+        entry.context.routes->source().organisations->organisations, boot_now());
+    auto const first =
+        entry.send_request(http::verb::post, unsafe_path, {{"X-Key", "key-a"}});
+    BOOST_TEST(first.starts_with("HTTP/1.1 503"));
+    entry.done = false;
+    auto const second =
+        entry.send_request(http::verb::post, unsafe_path, {{"X-Key", "key-a"}});
+    BOOST_TEST(!second.starts_with("HTTP/1.1 429"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -371,6 +371,7 @@
         .dispatch = dispatcher(zone_id::of("z"), {}),
         .connections = connection_pool(loop.get_executor(), {}),
         .budgets = {},
+        .quotas = quota_registry({.settling_time = duration{0}}, boot_now() - 1min),
         .suspects = suspect_registry({}),
         .parts = part_suspect_registry({}),
         .rate_limits = rate_limit_coordinator(host_id::of("h"), {}),
