Spell a test's answer so that no comma seems to be missing

Cause: the linter takes two adjacent literals in a list for a missing comma. Change: the answer is put together before the list.

--- a/tests/unit/entry/invalid_answers.hpp
+++ b/tests/unit/entry/invalid_answers.hpp
@@ -45,6 +45,9 @@
           "X-Name: v\x01w"s, "X-Name: v\0w"s, "X-Name: v\x7f"s, "X-Name: v\rw"s,
           "X-Name: v\nX-Other: w"s, "X-Name: v\r\n folded"s, "X-Name: v\r\n\tfolded"s})
         answers.push_back(answer_of("HTTP/1.1 200 OK", line + "\r\n"));
+    auto const doubled_coding =
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"s +
+        "4\r\nbody\r\n0\r\n\r\n";
     for (auto const* framing :
          {"Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
           "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
@@ -61,8 +64,7 @@
           "Transfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
           "Transfer-Encoding: identity\r\n\r\nbody",
           "Transfer-Encoding: chunked;q=1\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
-          "4\r\nbody\r\n0\r\n\r\n",
+          doubled_coding.c_str(),
           "Transfer-Encoding:\r\n\r\nbody",
           "Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n",
           "Transfer-Encoding: chunked\r\n\r\n4 x\r\nbody\r\n0\r\n\r\n",
