Bound the time after which a request beyond its quota may come back

Cause: a request that names zero tokens asks for nothing, so that the rate of its host's share can be zero and the time until the next one was infinite. Change: at most 60 s.

--- a/marjorampath/quota/quota_share.cpp
+++ b/marjorampath/quota/quota_share.cpp
@@ -96,8 +96,12 @@
     auto const is_plenty =
         !is_settling(now) && level_ - units >= excess * seconds(options_.report_delay);
     if (!is_plenty && share_ < 0)
-        return std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>((units - share_) / share_rate(now)));
+    {
+        // The rate is zero if nothing was asked for but requests without units
+        auto const wait =
+            std::min((units - share_) / share_rate(now), seconds(options_.max_wait));
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
+    }
     take(units);
     return std::nullopt;
 }
--- a/marjorampath/quota/quota_share.hpp
+++ b/marjorampath/quota/quota_share.hpp
@@ -29,6 +29,8 @@
     /// Time for whose use a process begins in debt: the averages of processes that have
     /// started together lag behind what they use.
     duration initial_debt = std::chrono::milliseconds(700);
+    /// Longest time after which a refused request may come back.
+    duration max_wait = std::chrono::seconds(60);
     /// Fraction of the rate that is used in any case.
     double min_rate_fraction = 0.2;
     /// Time until other hosts learn of a change in demand, with a margin. While the burst
--- a/tests/unit/quota/quota_fleet_test.cpp
+++ b/tests/unit/quota/quota_fleet_test.cpp
@@ -380,4 +380,21 @@
     BOOST_TEST((wait > duration{0}));
 }
 
+// A request may say that it has no tokens; the time until the next one is finite
+BOOST_AUTO_TEST_CASE(requests_without_units_are_refused_for_a_bounded_time)
+{
+    time_point now{1'000s};
+    quota_share share({}, now - 1min);
+    share.set_limit(1, 0, now - 1min);
+    BOOST_TEST(!share.ask(1'000, now).has_value());
+    now += 3h;
+    BOOST_TEST(!share.ask(1'000, now).has_value());
+    for (duration const pause : {duration(1ms), duration(1s), duration(1'000s)})
+    {
+        now += pause;
+        auto const wait = share.ask(0, now);
+        BOOST_TEST((!wait || (*wait > duration{0} && *wait <= 60s)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
