Encode whatever comes from outside in targets, and use the part of a list that was read

Cause: the key of a page's last item went into the target for the next page as it was. A blank or CR LF broke the request or added a field to it, ; and bad escapes were refused, &, + and %41 moved the cursor. A read that failed behind its first page was thrown away, so that a new process knew nothing. The stand-in of the store decoded no query and hid all of it.

--- a/marjorampath/deployment/endpoint_catalog.cpp
+++ b/marjorampath/deployment/endpoint_catalog.cpp
@@ -33,6 +33,18 @@
     return events;
 }
 
+std::vector<endpoint_event>
+endpoint_catalog::apply_part(time_point listed_at, store_position position,
+                             std::vector<endpoint_announcement> part)
+{
+    std::vector<endpoint_event> events;
+    if (listed_at_ && (position < position_ || position.era != position_.era))
+        return events;
+    for (auto& entry : part)
+        apply_entry(std::move(entry), listed_at, events);
+    return events;
+}
+
 void endpoint_catalog::remove_missing(std::set<endpoint_id> const& listed,
                                       time_point listed_at,
                                       std::vector<endpoint_event>& events)
--- a/marjorampath/deployment/endpoint_catalog.hpp
+++ b/marjorampath/deployment/endpoint_catalog.hpp
@@ -83,6 +83,13 @@
                   std::vector<endpoint_announcement> listing,
                   std::optional<time_point> available_since = {});
 
+    /// Applies a listing of the given position of which only a part could be read, and
+    /// returns the changes. Other endpoints stay as they are known, and the last listing
+    /// stays the newest one. Ignored if it is older than the last listing or of another
+    /// era.
+    std::vector<endpoint_event> apply_part(time_point listed_at, store_position position,
+                                           std::vector<endpoint_announcement> part);
+
     /// Notes that the listing of the given position was still the newest one at a time.
     /// Ignored if it is not the last one that was applied.
     void confirm_listing(time_point listed_at, store_position position,
--- a/programs/marjorampath-standin/http_server.cpp
+++ b/programs/marjorampath-standin/http_server.cpp
@@ -7,6 +7,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/url/encoding_opts.hpp>
+#include <boost/url/parse_query.hpp>
+#include <boost/url/pct_string_view.hpp>
 
 #include <fmt/format.h>
 
@@ -28,6 +31,16 @@
 // Maximum size of a request body, in bytes
 constexpr std::uint64_t max_body_bytes = 16'777'216;
 
+// Decodes percent-encoded text; throws std::exception if an escape is invalid
+std::string decode(std::string_view text, bool plus_is_blank)
+{
+    boost::urls::encoding_opts options;
+    options.space_as_plus = plus_is_blank;
+    return boost::urls::pct_string_view(
+               boost::urls::string_view(text.data(), text.size()))
+        .decode(options);
+}
+
 } // namespace
 
 http_exchange::http_exchange(beast::tcp_stream& stream, request_type request)
@@ -38,7 +51,7 @@
 std::string http_exchange::path() const
 {
     std::string_view const target(request_.target().data(), request_.target().size());
-    return std::string(target.substr(0, target.find('?')));
+    return decode(target.substr(0, target.find('?')), false);
 }
 
 std::string http_exchange::query(std::string_view name) const
@@ -47,14 +60,17 @@
     auto const start = target.find('?');
     if (start == std::string_view::npos)
         return {};
-
     auto rest = target.substr(start + 1);
+    if (rest.find(';') != std::string_view::npos ||
+        !boost::urls::parse_query(boost::urls::string_view(rest.data(), rest.size())))
+        throw std::invalid_argument("invalid query " + std::string(rest));
+
     while (!rest.empty())
     {
         auto const pair = rest.substr(0, rest.find('&'));
         auto const equals = pair.find('=');
         if (equals != std::string_view::npos && pair.substr(0, equals) == name)
-            return std::string(pair.substr(equals + 1));
+            return decode(pair.substr(equals + 1), true);
         rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     }
     return {};
--- a/programs/marjorampath-standin/http_server.hpp
+++ b/programs/marjorampath-standin/http_server.hpp
@@ -38,10 +38,13 @@
         return request_;
     }
 
-    /// The request target without its query.
+    /// The request target without its query, decoded. Throws std::exception if it holds
+    /// an invalid escape.
     [[nodiscard]] std::string path() const;
 
-    /// The value of a query parameter, not decoded; empty where it is missing.
+    /// The value of a query parameter, decoded as by servers of HTML forms: `+` is a
+    /// blank. Empty where it is missing. Throws std::exception if the query holds an
+    /// invalid escape, a semicolon or a character that must be encoded.
     [[nodiscard]] std::string query(std::string_view name) const;
 
     /// The value of a header field; empty where it is missing.
--- a/serving/configuration/configuration_client.cpp
+++ b/serving/configuration/configuration_client.cpp
@@ -1,8 +1,8 @@
 #include <serving/configuration/configuration_client.hpp>
-
-#include <fmt/format.h>
+#include <serving/remote/request_target.hpp>
 
 #include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace marjorampath::serving
@@ -13,6 +13,9 @@
 namespace
 {
 
+// Path of all values; a key follows
+constexpr std::string_view values_path = "/v1/values/";
+
 configuration_read_result to_configuration_read_result(http_read_result answer)
 {
     configuration_read_result result;
@@ -34,8 +37,9 @@
 asio::awaitable<configuration_read_result>
 configuration_client::read(std::string_view key)
 {
-    auto target = fmt::format("/v1/values/{}", key);
-    auto answer = co_await reader_.get(std::move(target), std::chrono::milliseconds(0));
+    request_target target(values_path);
+    target.add_key(key);
+    auto answer = co_await reader_.get(target.text(), std::chrono::milliseconds(0));
     co_return to_configuration_read_result(std::move(answer));
 }
 
@@ -44,9 +48,11 @@
                                      std::chrono::milliseconds wait)
 {
     auto const bounded_wait = std::min(wait, max_wait);
-    auto target = fmt::format("/v1/values/{}?after={}&wait_ms={}", key, after,
-                              bounded_wait.count());
-    auto answer = co_await reader_.get(std::move(target), bounded_wait);
+    request_target target(values_path);
+    target.add_key(key)
+        .add_parameter("after", after)
+        .add_parameter("wait_ms", static_cast<std::uint64_t>(bounded_wait.count()));
+    auto answer = co_await reader_.get(target.text(), bounded_wait);
     co_return to_configuration_read_result(std::move(answer));
 }
 
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -255,6 +255,8 @@
     void note_listing_history(store_position before, std::string_view source);
     // Applies a listing of the endpoints
     void apply_listing(endpoint_listing listing, std::string_view source);
+    // Applies what was read of a listing whose read failed
+    void apply_listing_part(endpoint_listing listing);
     // Logs a change of an endpoint and tells all that depend on it
     void apply_endpoint_change(endpoint_event const& change, std::string_view source);
     // Takes an endpoint out of use whose answer said that it is leaving
@@ -270,7 +272,7 @@
     // Passes the engines whose leases this host may request to the fleet
     void update_engines();
     // Logs when the store becomes reachable or unreachable
-    void update_store_state(std::error_code error);
+    void update_store_state(endpoint_listing const& listing);
 
     // Runs the periodic tasks and schedules the next run
     void run_periodic_tasks();
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -31,7 +31,7 @@
             listing.error = remote_error::history_lost;
         if (finished_)
             break;
-        update_store_state(listing.error);
+        update_store_state(listing);
         auto const failed = static_cast<bool>(listing.error);
         last_listing_read_at_ = boot_now();
         next_listing_read_at_ = last_listing_read_at_ +
@@ -40,7 +40,10 @@
         if (fallback_.wants_operator(boot_now()))
             watch_timer_.cancel();
         if (failed)
+        {
+            apply_listing_part(std::move(listing));
             continue;
+        }
         context_.freshness.on_store_position(listing.position, requested_at);
         apply_listing(std::move(listing), "store");
     }
@@ -67,10 +70,12 @@
 }
 
 template <entry_platform Platform>
-void entry_node<Platform>::update_store_state(std::error_code error)
+void entry_node<Platform>::update_store_state(endpoint_listing const& listing)
 {
+    auto const& error = listing.error;
     if (error && store_reachable_)
-        log_event(event::store_unreachable, "error", error.message(), "revision",
+        log_event(event::store_unreachable, "error", error.message(), "read",
+                  listing.endpoints.size(), "ignored", listing.ignored.size(), "revision",
                   catalog_.position().revision, "era", catalog_.position().era);
     if (!error && !store_reachable_)
         log_event(event::store_reachable, "revision", catalog_.position().revision, "era",
@@ -217,6 +222,17 @@
     on_listing_renewed();
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::apply_listing_part(endpoint_listing listing)
+{
+    auto const changes = catalog_.apply_part(listing.listed_at, listing.position,
+                                             std::move(listing.endpoints));
+    for (auto const& change : changes)
+        apply_endpoint_change(change, "store");
+    if (!changes.empty())
+        update_engines();
+}
+
 template <entry_platform Platform>
 void entry_node<Platform>::note_listing_history(store_position before,
                                                 std::string_view source)
--- a/serving/entry/entry_view.hpp
+++ b/serving/entry/entry_view.hpp
@@ -24,7 +24,8 @@
 namespace marjorampath::serving
 {
 
-/// The result of listing the endpoints that announce themselves in the store.
+/// The result of listing the endpoints that announce themselves in the store. What
+/// arrived before a read failed is valid; other endpoints are unknown then.
 struct endpoint_listing
 {
     /// Set if the read failed.
--- a/serving/remote/remote_error.cpp
+++ b/serving/remote/remote_error.cpp
@@ -34,6 +34,8 @@
             return "the store was restored from a copy meanwhile";
         case remote_error::history_lost:
             return "changes that the store no longer has";
+        case remote_error::list_incomplete:
+            return "the rest of the list cannot be read";
         }
         return "unknown error";
     }
--- a/serving/remote/remote_error.hpp
+++ b/serving/remote/remote_error.hpp
@@ -23,7 +23,9 @@
     history_changed,
     /// The store no longer has the changes that were asked for (410), or the answer is
     /// from before it was restored from a copy.
-    history_lost
+    history_lost,
+    /// The rest of a list cannot be read: its pages do not advance, or it is too long.
+    list_incomplete
 };
 
 /// Returns the error category of remote_error.
--- a/tests/process/entry_process.cpp
+++ b/tests/process/entry_process.cpp
@@ -49,8 +49,9 @@
                                              file("store.log"));
     publish(values.deployment);
     start_endpoint(values);
-    start_node(values);
-    if (!eventually([this] { return call(readiness_, "GET", "/readyz").status == 200; }))
+    write_settings(values);
+    start_node();
+    if (!becomes_ready())
         throw std::runtime_error("the node did not become ready");
 }
 
@@ -96,9 +97,9 @@
              boost::json::object{{"address", endpoint_->address_text()}}));
 }
 
-void entry_process::start_node(options const& values)
+void entry_process::write_settings(options const& values)
 {
-    auto const callers = free_address();
+    callers_ = free_address();
     auto const relay = free_address();
     auto const peers = free_address();
     readiness_ = free_address();
@@ -107,12 +108,28 @@
         "readiness: \"{}\"\nreadiness_path: \"/readyz\"\nrelay: \"{}\"\n"
         "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
         "outgoing: \"127.0.0.1\"\ngrace_s: {}\n{}",
-        format_address(callers), format_address(readiness_), format_address(relay),
+        format_address(callers_), format_address(readiness_), format_address(relay),
         format_address(peers), format_address(relay), store_->address_text(),
         values.grace.count(), values.node_settings);
+}
+
+void entry_process::start_node()
+{
     node_ = std::make_unique<child_process>(
         "marjorampath-entry", std::vector<std::string>{"--settings", file("node.yaml")},
-        file("node.log"), callers);
+        file("node.log"), callers_);
+}
+
+void entry_process::restart_node()
+{
+    node_.reset();
+    start_node();
+}
+
+bool entry_process::becomes_ready() const
+{
+    return eventually([this]
+                      { return call(readiness_, "GET", "/readyz").status == 200; });
 }
 
 void entry_process::pause_store(bool paused)
--- a/tests/process/entry_process.hpp
+++ b/tests/process/entry_process.hpp
@@ -59,6 +59,12 @@
         return store_->address();
     }
 
+    /// Kills the node and starts it again with the same settings and addresses.
+    void restart_node();
+
+    /// Whether the node becomes ready within 10 s.
+    [[nodiscard]] bool becomes_ready() const;
+
     /// Pauses or resumes the store.
     void pause_store(bool paused);
 
@@ -91,12 +97,14 @@
     [[nodiscard]] std::string file(std::string const& name) const;
 
     void start_endpoint(options const& values);
-    void start_node(options const& values);
+    void write_settings(options const& values);
+    void start_node();
 
     std::filesystem::path folder_;
     std::unique_ptr<child_process> store_;
     std::unique_ptr<child_process> endpoint_;
     std::unique_ptr<child_process> node_;
+    boost::asio::ip::tcp::endpoint callers_;
     boost::asio::ip::tcp::endpoint readiness_;
 };
 
--- a/tests/unit/deployment/deployment_test.cpp
+++ b/tests/unit/deployment/deployment_test.cpp
@@ -48,6 +48,39 @@
 
 BOOST_AUTO_TEST_SUITE(deployments)
 
+// What could not be read of a listing is unknown: it counted as gone
+BOOST_AUTO_TEST_CASE(a_part_of_a_listing_adds_endpoints_and_removes_none)
+{
+    endpoint_catalog catalog({});
+    auto const first = catalog.apply_part(at(0s), {1, 10}, {announce_at("e", {1, 5})});
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_TEST((first[0].change == endpoint_change::appeared));
+    BOOST_TEST(!catalog.listed_at().has_value());
+
+    catalog.apply_listing(at(1s), {1, 20},
+                          {announce_at("e", {1, 5}), announce_at("f", {1, 15})});
+    auto leaving = announce_at("e", {1, 21});
+    leaving.draining = true;
+    auto const part =
+        catalog.apply_part(at(2s), {1, 22}, {leaving, announce_at("g", {1, 22})});
+    BOOST_REQUIRE(part.size() == 2U);
+    BOOST_TEST((part[0].change == endpoint_change::draining));
+    BOOST_TEST(catalog.endpoints().size() == 3U);
+    BOOST_TEST((catalog.position() == store_position{1, 20}));
+    BOOST_TEST((catalog.listed_at() == at(1s)));
+}
+
+// An endpoint that a newer listing no longer has came back
+BOOST_AUTO_TEST_CASE(a_part_of_an_older_listing_or_of_another_era_is_ignored)
+{
+    endpoint_catalog catalog({});
+    catalog.apply_listing(at(0s), {2, 20}, {});
+    BOOST_TEST(catalog.apply_part(at(1s), {2, 19}, {announce_at("e", {2, 5})}).empty());
+    BOOST_TEST(catalog.apply_part(at(1s), {1, 90}, {announce_at("e", {1, 5})}).empty());
+    BOOST_TEST(catalog.apply_part(at(1s), {3, 30}, {announce_at("e", {3, 5})}).empty());
+    BOOST_TEST(catalog.endpoints().empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_longest_prefix_wins)
 {
     auto source = std::make_shared<deployment>();
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -228,6 +228,8 @@
     BOOST_REQUIRE(page);
     BOOST_TEST(page->position.revision == 9u);
     BOOST_TEST(page->truncated);
+    // The next page begins behind the last item, whether or not that one can be parsed
+    BOOST_TEST(page->last_key == "c");
     BOOST_REQUIRE(page->items.size() == 1u);
     BOOST_TEST(page->items[0].value == "hi");
     auto const events = read_page(
--- a/tests/unit/platform/store_fixture.hpp
+++ b/tests/unit/platform/store_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include <programs/marjorampath-standin/http_server.hpp>
 #include <serving/remote/http_reader.hpp>
+#include <serving/remote/request_target.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -64,6 +65,12 @@
         return std::move(*result);
     }
 
+    // Makes each page the first one
+    void repeat_pages(std::size_t items)
+    {
+        call_store(fmt::format("/standin/pages?items={}&repeat=1", items));
+    }
+
     // Sends a request to the stand-in
     void call_store(std::string const& target, std::string const& body = {})
     {
@@ -85,6 +92,14 @@
             platform::version_document("m", adapter, version));
     }
 
+    // Writes an item under a key of any bytes
+    void write_item(std::string const& key, std::string const& value)
+    {
+        call_store(
+            serving::request_target("/standin/put").add_parameter("key", key).text(),
+            value);
+    }
+
     // Sets the size of a page, and whether pages behind the first one fail
     void set_pages(std::size_t items, bool later_fail)
     {
