--- a/tests/unit/platform/store_names_test.cpp
+++ b/tests/unit/platform/store_names_test.cpp
@@ -192,6 +192,19 @@
     BOOST_TEST(!history.error);
 }
 
+// Guards against a list of which only the first hundred pages are read (review/9)
+BOOST_AUTO_TEST_CASE(a_list_of_many_pages_is_read_to_its_end)
+{
+    constexpr int items = 250;
+    for (int item = 0; item < items; ++item)
+    {
+        announce_version(fmt::format("a{}", item), 2);
+        write_endpoint(fmt::format("e{}", item));
+    }
+    set_pages(1, false);
+    check_new_client();
+}
+
 // The first page was read a hundred times, and then nothing was known
 BOOST_AUTO_TEST_CASE(what_was_read_of_a_list_that_does_not_advance_is_kept)
 {
