Continue a lease only within the time that a new holder waits for

Seen with real nodes: a holder that was cut off or frozen while all witnesses were restarted gave orders 2,426, 1,964 and 2,761 ms after those of the holder in between; two holders may not take turns within 3,000 ms (ONE). Cause: the lease counted as continued as the witnesses knew no other number, and those that have just started know none. Change: lease_tenure asks, besides, that this host held the lease no longer ago than a new holder waits before its first order.

--- a/serving/entry/entry_fleet.cpp
+++ b/serving/entry/entry_fleet.cpp
@@ -60,7 +60,7 @@
       router_(options_.self.host, options_.self.zone, {}), relay_({}),
       holder_(options_.self.host, with_zone(options_.leases)),
       witness_(options_.self.host, with_zone(options_.leases)),
-      activation_(with_zone(options_.leases))
+      activation_(with_zone(options_.leases)), tenure_(options_.order_quiet)
 {
 }
 
@@ -314,6 +314,7 @@
     lease_actions actions;
     holder_.on_tick(now, wall_now(), actions);
     carry_out(actions);
+    tenure_.on_tick(holder_, now);
 
     timer_.expires_after(tick_interval);
     timer_.async_wait(
@@ -451,9 +452,7 @@
 
 void entry_fleet::carry_out(lease_acquired const& action)
 {
-    auto& last = last_fencing_numbers_[action.resource];
-    auto const continued = last != 0 && action.previous_number == last;
-    last = action.fencing_number;
+    auto const continued = tenure_.on_acquired(action, boot_now());
     log_event(event::lease_gained, "resource", action.resource, "number",
               action.fencing_number, "continued", continued);
     events_.on_acquired(engine_of(action.resource), action.fencing_number, continued);
--- a/serving/entry/entry_fleet.hpp
+++ b/serving/entry/entry_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <marjorampath/lease/lease_action.hpp>
 #include <marjorampath/lease/lease_holder.hpp>
+#include <marjorampath/lease/lease_tenure.hpp>
 #include <marjorampath/lease/lease_witness.hpp>
 #include <marjorampath/lease/witness_activation.hpp>
 #include <marjorampath/peer/heartbeat_relay.hpp>
@@ -32,6 +33,8 @@
     std::vector<peer_address> seeds;
     /// Terms and timings of the leases.
     lease_options leases;
+    /// Time for which a new lease holder gives no orders.
+    duration order_quiet = std::chrono::seconds(3);
     /// Timings of heartbeats and of failure detection.
     peer_table_options peers;
 };
@@ -247,8 +250,8 @@
     lease_witness witness_;
     // Whether this host may grant leases
     witness_activation activation_;
-    // Fencing number of the last lease of this host for each engine
-    std::map<resource_id, std::uint64_t> last_fencing_numbers_;
+    // Leases that this host held
+    lease_tenure tenure_;
     // Lease holders by their heartbeats
     std::map<endpoint_id, announced_holder> holders_;
     // When the next heartbeats are due
--- a/serving/entry/entry_node_fleet.inl
+++ b/serving/entry/entry_node_fleet.inl
@@ -17,6 +17,7 @@
                    .zones = {},
                    .witnesses_per_zone = settings_.witnesses,
                    .wait_for_younger = false},
+        .order_quiet = settings_.order_quiet,
         .peers = {}};
     for (auto const& seed : settings_.seeds)
         if (seed.address().is_v4())
--- a/tests/process/cut_fleet.cpp
+++ b/tests/process/cut_fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/json.hpp>
 
 #include <fmt/format.h>
 
@@ -190,6 +191,31 @@
     return holder;
 }
 
+std::chrono::milliseconds cut_fleet::shortest_turn() const
+{
+    auto shortest = std::chrono::milliseconds::max();
+    for (std::size_t engine = 0; engine < engines_.size(); ++engine)
+    {
+        std::string holder;
+        std::chrono::milliseconds last_order_at{0};
+        std::ifstream records(file(fmt::format("engine-{}.records", engine)));
+        for (std::string line; std::getline(records, line);)
+        {
+            auto const record = boost::json::parse(line).as_object();
+            if (record.at("event").as_string() != "order")
+                continue;
+            std::chrono::milliseconds const at(
+                record.at("at_ms").to_number<std::int64_t>());
+            std::string const from(record.at("holder").as_string());
+            if (!holder.empty() && from != holder)
+                shortest = std::min(shortest, at - last_order_at);
+            holder = from;
+            last_order_at = at;
+        }
+    }
+    return shortest;
+}
+
 void cut_fleet::call_node(std::size_t node)
 {
     platform::standin_deployment const deployment;
--- a/tests/process/cut_fleet.hpp
+++ b/tests/process/cut_fleet.hpp
@@ -67,6 +67,9 @@
     /// The node whose order an engine received last; empty if it received none.
     [[nodiscard]] std::optional<std::size_t> holder_of(std::size_t engine) const;
 
+    /// Shortest time between two orders of different nodes to one engine.
+    [[nodiscard]] std::chrono::milliseconds shortest_turn() const;
+
     /// Number of records of all engines that hold a text.
     [[nodiscard]] std::size_t count_records(std::string_view text) const;
 
--- a/tests/process/lease_cut_test.cpp
+++ b/tests/process/lease_cut_test.cpp
@@ -70,6 +70,14 @@
         BOOST_TEST(fleet.count_records("\"event\":\"overfull\"") == 0U);
     }
 
+    // Holders that take turns within this time break ONE, also with orders that the
+    // engine refuses
+    void check_holders_take_no_turns() const
+    {
+        constexpr auto order_quiet = 3'000ms;
+        BOOST_TEST(fleet.shortest_turn().count() >= order_quiet.count());
+    }
+
     cut_fleet fleet{{.seed = seed()}};
 };
 
@@ -88,6 +96,7 @@
     fleet.cut({});
     wait_for_orders(60);
     check_no_engine_is_overfull();
+    check_holders_take_no_turns();
 }
 
 // As above, with two more nodes on the side of the holder
@@ -108,6 +117,7 @@
         wait_for_orders(40);
     }
     check_no_engine_is_overfull();
+    check_holders_take_no_turns();
 }
 
 // A holder that is frozen beyond its lease wakes with its old plan, and nobody knows of
@@ -121,6 +131,7 @@
     fleet.pause_node(first, false);
     wait_for_orders(60);
     check_no_engine_is_overfull();
+    check_holders_take_no_turns();
 }
 
 // Guards against an order that a proxy delivers when its sender's lease is over and
--- a/tests/unit/fleet/lease_test.cpp
+++ b/tests/unit/fleet/lease_test.cpp
@@ -1,4 +1,6 @@
+#include <marjorampath/lease/lease_action.hpp>
 #include <marjorampath/lease/lease_holder.hpp>
+#include <marjorampath/lease/lease_tenure.hpp>
 #include <marjorampath/lease/lease_witness.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -181,4 +183,24 @@
     BOOST_TEST(!holder.fencing_number_for_order(cell, at(1'430ms)));
 }
 
+// Guards against a holder that goes on as witnesses which have just started know of none
+// in between (review/6)
+BOOST_AUTO_TEST_CASE(a_lease_is_continued_only_within_the_time_a_new_holder_waits_for)
+{
+    lease_tenure tenure(3s);
+    lease_holder const holder(host_a, one_zone());
+    auto const acquire = [&](std::uint64_t number, std::uint64_t previous, duration time)
+    {
+        tenure.on_tick(holder, at(time));
+        return tenure.on_acquired(
+            {.resource = cell, .fencing_number = number, .previous_number = previous},
+            at(time));
+    };
+    BOOST_TEST(!acquire(5, 0, 0s));
+    BOOST_TEST(acquire(6, 5, 3s));
+    BOOST_TEST(!acquire(9, 7, 4s));
+    BOOST_TEST(!acquire(10, 9, 7'001ms));
+    BOOST_TEST(acquire(11, 10, 8s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
