Test more crowds of clients that keep to no limit, before the product changes

Cause: callers saw 503 or a closed connection while a crowd held all connections of a host, and nothing was tested of readers of streams, of requests behind each other, of bodies that other hosts pass on, and of the memory afterwards. A scripted endpoint may reset a connection whose answer stays unread.

--- a/tests/process/entry_process.cpp
+++ b/tests/process/entry_process.cpp
@@ -101,7 +101,7 @@
 {
     callers_ = free_address();
     auto const relay = free_address();
-    auto const peers = free_address();
+    forwards_ = free_address();
     readiness_ = free_address();
     std::ofstream(file("node.yaml")) << fmt::format(
         "host: \"node-0\"\nzone: \"zone-a\"\ncallers: \"{}\"\n"
@@ -109,7 +109,7 @@
         "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
         "outgoing: \"127.0.0.1\"\ngrace_s: {}\n{}",
         format_address(callers_), format_address(readiness_), format_address(relay),
-        format_address(peers), format_address(relay), store_->address_text(),
+        format_address(forwards_), format_address(relay), store_->address_text(),
         values.grace.count(), values.node_settings);
 }
 
--- a/tests/process/entry_process.hpp
+++ b/tests/process/entry_process.hpp
@@ -53,6 +53,12 @@
         return *node_;
     }
 
+    /// Address at which other hosts pass requests on to the node.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint forwards() const
+    {
+        return forwards_;
+    }
+
     /// Address of the store.
     [[nodiscard]] boost::asio::ip::tcp::endpoint store() const
     {
@@ -105,6 +111,7 @@
     std::unique_ptr<child_process> endpoint_;
     std::unique_ptr<child_process> node_;
     boost::asio::ip::tcp::endpoint callers_;
+    boost::asio::ip::tcp::endpoint forwards_;
     boost::asio::ip::tcp::endpoint readiness_;
 };
 
--- a/tests/unit/entry/entry_fixture.hpp
+++ b/tests/unit/entry/entry_fixture.hpp
@@ -47,6 +47,9 @@
     duration pause{0};
     // Bytes that are sent on this connection once another request was read from it
     std::string late = {};
+    // Time after which the connection is reset if the other side does not read the
+    // endless bytes; zero for never
+    duration unread_limit{0};
 };
 
 /// An endpoint that answers each request with the next answer of a script
@@ -71,6 +74,8 @@
     std::function<void()> on_request;
     // Connections that the other side closed while the server was silent
     int abandoned = 0;
+    // Connections that were reset because the other side did not read
+    int unread = 0;
 
 private:
     asio::awaitable<void> accept()
@@ -103,6 +108,9 @@
                                        asio::redirect_error(asio::use_awaitable, error));
             while (!answer.endless.empty() && !error)
             {
+                asio::steady_timer limit(socket.get_executor());
+                if (answer.unread_limit > duration{0})
+                    limit_write(limit, socket, answer.unread_limit);
                 co_await asio::async_write(
                     socket, asio::buffer(answer.endless),
                     asio::redirect_error(asio::use_awaitable, error));
@@ -121,6 +129,22 @@
         }
     }
 
+    // Resets a connection unless the timer is destroyed before
+    void limit_write(asio::steady_timer& timer, tcp::socket& socket, duration limit)
+    {
+        timer.expires_after(limit);
+        timer.async_wait(
+            [this, &socket](error_code stopped)
+            {
+                if (stopped)
+                    return;
+                ++unread;
+                error_code ignored;
+                socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                socket.close(ignored);
+            });
+    }
+
     tcp::acceptor acceptor_;
     std::deque<scripted_answer> answers_;
 };
