Reserve what is held for others before it is kept

Callers saw 503 or no answer beside clients that sent bodies without their end or read no answers, and a process over its memory is ended. Cause: bodies, heads, answers and connections had limits of their own, nothing added them up; connections of callers were never closed for new ones, and memory was no setting. Change: the sessions, the pool of connections to endpoints, held answers and incomplete events take places and reservations of one resource_budget, made from memory_mb and descriptors. A sender or an endpoint is not read on while nothing is left; clients that make no progress yield; the rest is refused as not run (503 host-full, 408 request-timeout). Tests that compared the body of a sent request compare the bytes that it refers to; the assertions are as strict.

--- a/marjorampath/core/error_kind.cpp
+++ b/marjorampath/core/error_kind.cpp
@@ -63,6 +63,10 @@
                  "This host cannot confirm its configuration now."},
     error_answer{quota_exceeded, "quota-exceeded", 429, outcome::not_run, true,
                  "The organisation has used its quota."},
+    error_answer{request_timeout, "request-timeout", 408, outcome::not_run, false,
+                 "The request was not received in time."},
+    error_answer{host_full, "host-full", 503, outcome::not_run, true,
+                 "This host holds too much for others now."},
     error_answer{internal, "internal", 500, outcome::unknown, false,
                  "A defect of this program."},
 };
--- a/marjorampath/core/error_kind.hpp
+++ b/marjorampath/core/error_kind.hpp
@@ -61,6 +61,10 @@
     configuration_unconfirmed,
     /// The caller's organisation has used its quota.
     quota_exceeded,
+    /// The caller did not send its request in time.
+    request_timeout,
+    /// This host has no place for the connection, or no memory for the message.
+    host_full,
     /// A defect in this program.
     internal
 };
--- a/marjorampath/dispatch/event_splitter.hpp
+++ b/marjorampath/dispatch/event_splitter.hpp
@@ -45,6 +45,12 @@
         must_be_numbered_ = last_id_ != 0;
     }
 
+    /// Size of an incomplete event that is buffered, in bytes.
+    [[nodiscard]] std::size_t buffered_bytes() const noexcept
+    {
+        return partial_.size();
+    }
+
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool in_event() const noexcept
     {
--- a/marjorampath/resource_budget/resource_budget.cpp
+++ b/marjorampath/resource_budget/resource_budget.cpp
@@ -183,13 +183,13 @@
     start_progress(*receiving, phase::receiving, options_.stall_time, now);
 }
 
-void resource_budget::on_working(connection_number connection, time_point now)
+void resource_budget::on_working(connection_number connection, time_point begun)
 {
     auto* const working = find(connection);
     if (!working)
         return;
     if (working->state == phase::idle)
-        working->begun = now;
+        working->begun = begun;
     working->state = phase::working;
 }
 
@@ -208,8 +208,10 @@
     auto* const active = find(connection);
     if (!active)
         return;
+    auto const rate =
+        active->state == phase::sending ? options_.answer_min_rate : options_.min_rate;
     auto const earned = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(static_cast<double>(bytes) / options_.min_rate));
+        std::chrono::duration<double>(static_cast<double>(bytes) / rate));
     active->due = std::min(now + active->stall_time, active->due + earned);
 }
 
--- a/marjorampath/resource_budget/resource_budget.hpp
+++ b/marjorampath/resource_budget/resource_budget.hpp
@@ -24,14 +24,16 @@
     resource_limits limits;
     /// Time without progress after which a client that sends a request counts as stalled.
     duration stall_time = std::chrono::seconds(1);
-    /// The same for a client that reads a whole answer. The kernel reports progress only
-    /// when a third of the send buffer is free again.
-    duration answer_stall_time = std::chrono::seconds(4);
+    /// The same for a client that reads a whole answer.
+    duration answer_stall_time = std::chrono::seconds(1);
     /// The same for a client that reads a stream, whose events may be far apart.
     duration stream_stall_time = std::chrono::seconds(5);
     /// Rate below which a client counts as stalled although it makes progress, in bytes
     /// per second.
     double min_rate = 16'384;
+    /// The same for a client that reads an answer. The kernel reports progress only when
+    /// a third of the send buffer is free again, so that a lower rate shows as a stall.
+    double answer_min_rate = 65'536;
     /// Longest wait for a reservation: longer than a sender may stall, so that one that
     /// does yields first.
     duration max_wait = std::chrono::seconds(2);
@@ -101,8 +103,9 @@
     /// The head of a request was read and its client sends the body.
     void on_receiving(connection_number connection, time_point now);
 
-    /// The whole request was read; it waits or runs, and its client need not do anything.
-    void on_working(connection_number connection, time_point now);
+    /// The whole request, which began at this time, was read; it waits or runs, and its
+    /// client need not do anything.
+    void on_working(connection_number connection, time_point begun);
 
     /// The client reads a whole answer, or a stream.
     void on_sending(connection_number connection, bool is_stream, time_point now);
--- a/programs/marjorampath-entry/main.cpp
+++ b/programs/marjorampath-entry/main.cpp
@@ -8,6 +8,7 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
+#include <malloc.h>
 #include <platform/users_platform.hpp>
 #include <string>
 #include <variant>
@@ -29,6 +30,14 @@
     return usage;
 }
 
+// Has large blocks returned to the system when they are freed. The default threshold
+// grows with the blocks that were freed, and those of clients are as large as they like
+void return_large_blocks()
+{
+    constexpr int min_mapped_bytes = 262'144;
+    mallopt(M_MMAP_THRESHOLD, min_mapped_bytes);
+}
+
 // Runs the node until it is stopped; returns the exit status
 int serve(entry_settings const& settings, std::string const& file)
 {
@@ -56,6 +65,7 @@
 int main(int argc, char** argv)
 {
     block_signals();
+    return_large_blocks();
     TCLAP::CmdLine command("Entry node of marjorampath on the users' platform", ' ',
                            "0.1.0");
     TCLAP::ValueArg<std::string> file("s", "settings", "YAML file with the settings",
--- a/serving/caller/caller_context.hpp
+++ b/serving/caller/caller_context.hpp
@@ -5,12 +5,14 @@
 #include <serving/caller/caller_limits.hpp>
 #include <serving/caller/caller_request.hpp>
 #include <serving/caller/error_reply.hpp>
+#include <serving/resources/host_resources.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace marjorampath::serving
@@ -32,6 +34,10 @@
     /// Refuses a request by its head, before its body is read; empty answer for one that
     /// may go on. May be null.
     std::function<std::optional<caller_answer>(caller_message const&)> refuse_head;
+    /// Budget of which the connections get their places and memory; null for none.
+    std::shared_ptr<host_resources> resources = nullptr;
+    /// Whose connections these are.
+    connection_class of = connection_class::callers;
     /// Hash seed of the request identifiers; differs for every thread and every start of
     /// the program.
     std::uint64_t request_seed = 0;
--- a/serving/caller/caller_limits.hpp
+++ b/serving/caller/caller_limits.hpp
@@ -23,7 +23,8 @@
     /// Maximum time for receiving a complete request, and for sending an answer that is
     /// not streamed.
     duration receive_timeout = std::chrono::seconds(30);
-    /// Maximum number of callers' connections per traffic thread.
+    /// Maximum number of callers' connections per traffic thread, besides the places of
+    /// a resource budget.
     std::size_t max_connections = 20'000;
     /// Maximum number of attempts per request.
     std::uint32_t max_attempts = 4;
--- a/serving/caller/caller_listener.cpp
+++ b/serving/caller/caller_listener.cpp
@@ -43,6 +43,13 @@
         acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
         acceptor_.set_option(reuse_port(true), error);
+    // Accepted connections inherit the sizes of their buffers
+    if (!error && context_->resources)
+        acceptor_.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+                             error);
+    if (!error && context_->resources)
+        acceptor_.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes),
+                             error);
     if (!error)
         acceptor_.bind(address, error);
     if (!error)
@@ -107,6 +114,8 @@
     if (sessions_.size() >= context_->limits.max_connections)
         return;
     auto session = std::make_shared<caller_session>(std::move(socket), *context_);
+    if (!session->open_place())
+        return;
     sessions_.insert(session);
     asio::co_spawn(context_->loop, session->run(),
                    [this, session](std::exception_ptr const& /*failure*/)
--- a/serving/caller/caller_request.hpp
+++ b/serving/caller/caller_request.hpp
@@ -4,6 +4,7 @@
 #include <serving/caller/request_route.hpp>
 
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstdint>
@@ -17,6 +18,11 @@
 /// A caller's HTTP request as it was received.
 using caller_message = boost::beast::http::request<boost::beast::http::string_body>;
 
+/// A request as it is sent on. Refers to the body of the caller's request, which must
+/// outlive it.
+using outgoing_message =
+    boost::beast::http::request<boost::beast::http::span_body<char const>>;
+
 /// The parsed head of a caller's request. Refers to the message that it was parsed from,
 /// which must outlive it.
 struct caller_request
--- a/serving/endpoint/connection_pool.cpp
+++ b/serving/endpoint/connection_pool.cpp
@@ -49,9 +49,11 @@
         auto const last = std::move(connections.back());
         connections.pop_back();
         --idle_count_;
-        if (last.idle_since >= min_idle_since && last.address == endpoint.address &&
-            is_reusable(*last.connection))
-            return last.connection;
+        if (last.idle_since < min_idle_since || last.address != endpoint.address ||
+            !is_reusable(*last.connection))
+            continue;
+        last.connection->place.on_working(last.idle_since);
+        return last.connection;
     }
     idle_.erase(found);
     return nullptr;
@@ -59,15 +61,32 @@
 
 endpoint_connection connection_pool::make_socket() const
 {
-    auto connection = std::make_shared<tcp::socket>(executor_);
+    auto connection = std::make_shared<endpoint_socket>(executor_);
+    boost::system::error_code ignored;
+    if (options_.resources)
+    {
+        auto const admitted =
+            connection->place.open(options_.resources, connection_class::endpoints,
+                                   [socket = connection.get()](budget_event)
+                                   {
+                                       boost::system::error_code failed;
+                                       socket->close(failed);
+                                   });
+        if (admitted != admission::admitted)
+            return nullptr;
+        connection->place.on_working({});
+        connection->open(tcp::v4(), ignored);
+        connection->set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    }
     if (!options_.source)
         return connection;
 
     // An address that cannot be used shows when the socket connects. The port is chosen
     // then too, so that connections to different endpoints can share one
-    boost::system::error_code ignored;
     int const enabled = 1;
-    connection->open(tcp::v4(), ignored);
+    if (!connection->is_open())
+        connection->open(tcp::v4(), ignored);
     ::setsockopt(connection->native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT,
                  &enabled, sizeof(enabled));
     connection->bind({*options_.source, 0}, ignored);
@@ -97,15 +116,30 @@
 void connection_pool::put_back(directory_entry const& endpoint,
                                endpoint_connection connection, time_point idle_since)
 {
+    if (idle_count_ >= options_.max_idle)
+        drop_stale();
     if (idle_count_ >= options_.max_idle)
         return;
     auto& connections = idle_[endpoint.id];
     if (connections.size() >= options_.max_idle_per_endpoint)
         return;
+    connection->place.on_idle(idle_since);
     connections.push_back({.connection = std::move(connection),
                            .idle_since = idle_since,
                            .address = endpoint.address});
     ++idle_count_;
 }
 
+void connection_pool::drop_stale()
+{
+    auto const min_idle_since = boot_now() - options_.max_idle_time;
+    for (auto& [endpoint, connections] : idle_)
+        idle_count_ -= std::erase_if(connections,
+                                     [&](idle_connection const& each) {
+                                         return each.idle_since < min_idle_since ||
+                                                !is_reusable(*each.connection);
+                                     });
+    std::erase_if(idle_, [](auto const& each) { return each.second.empty(); });
+}
+
 } // namespace marjorampath::serving
--- a/serving/endpoint/connection_pool.hpp
+++ b/serving/endpoint/connection_pool.hpp
@@ -2,6 +2,7 @@
 
 #include <marjorampath/core/time.hpp>
 #include <serving/endpoint/directory.hpp>
+#include <serving/endpoint/endpoint_socket.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,11 +27,13 @@
     duration max_idle_time = std::chrono::seconds(20);
     /// Source address of new connections; chosen by the system if empty.
     std::optional<boost::asio::ip::address_v4> source;
+    /// Budget of which connections get their places; null for none.
+    std::shared_ptr<host_resources> resources = nullptr;
 };
 
 /// A connection to an endpoint. Shared so that it can be closed at a deadline, or when
 /// the caller disconnects, while an exchange waits for it.
-using endpoint_connection = std::shared_ptr<boost::asio::ip::tcp::socket>;
+using endpoint_connection = std::shared_ptr<endpoint_socket>;
 
 /// The idle keep-alive connections of one thread to all endpoints.
 class connection_pool
@@ -45,7 +48,8 @@
     endpoint_connection take_idle(directory_entry const& endpoint,
                                   duration max_idle = duration::max());
 
-    /// Creates a socket that is not connected yet.
+    /// Creates a socket that is not connected yet. Null if the host has no place for one
+    /// more connection.
     [[nodiscard]] endpoint_connection make_socket() const;
 
     /// Connects a socket, disables Nagle's algorithm and makes it non-blocking.
@@ -76,6 +80,9 @@
         boost::asio::ip::tcp::endpoint address;
     };
 
+    // Drops the idle connections that cannot be used any more
+    void drop_stale();
+
     // Executor of new sockets
     boost::asio::any_io_executor executor_;
     connection_pool_options options_;
--- a/serving/entry/entry_dialect.hpp
+++ b/serving/entry/entry_dialect.hpp
@@ -50,11 +50,11 @@
     // The request as sent to an endpoint
     {
         Dialect::endpoint_message(message, endpoint, options)
-        } -> std::same_as<caller_message>;
+        } -> std::same_as<outgoing_message>;
     // The request as another host of the fleet serves it for this one
     {
         Dialect::forwarded_message(message, options)
-        } -> std::same_as<caller_message>;
+        } -> std::same_as<outgoing_message>;
     // Classifies an endpoint's answer by its head, given the identifier of the caller's
     // attempt, the name of the endpoint that the request was sent to, and whether the
     // connection answered requests before
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -198,6 +198,12 @@
     // Reads the body after a head and delivers the answer, or holds a failure
     boost::asio::awaitable<attempt_end> process_answer(answer_reader& reader,
                                                        bool success);
+    // Reads the rest of a body as fast as there is memory for it
+    boost::asio::awaitable<error_code> read_whole(answer_reader& reader,
+                                                  std::string& body);
+    // Waits for the memory for an answer of so many bytes; without it the request is
+    // aborted. False then
+    boost::asio::awaitable<bool> hold_answer(std::size_t bytes);
     // Forwards a stream of events
     boost::asio::awaitable<attempt_end> forward_stream(answer_reader& reader);
     // Forwards whole events, after the head if none was sent; false if the caller is gone
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -272,6 +272,11 @@
         co_return true;
     }
     connection_ = context_->connections.make_socket();
+    if (!connection_)
+    {
+        control_->abort(error_kind::host_full);
+        co_return false;
+    }
     control_->set_connection(connection_);
     start_attempt_timeout(timeout);
     auto const failed = co_await connection_pool::connect(connection_, endpoint.address);
@@ -500,7 +505,7 @@
     control_->finish();
     if (reason == error_kind::shutting_down)
         co_await conclude_failed(reason, context_->times.shutdown_retry_pause);
-    else if (is_access_error(reason))
+    else if (is_access_error(reason) || reason == error_kind::host_full)
         co_await conclude_failed(reason, context_->times.retry_pause);
     else
         co_await conclude_failed(
--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -105,7 +105,7 @@
     context_->dispatch.on_first_event(request_.dispatch_call, current_endpoint_);
     context_->metrics.shard.latency(first_byte_metric)
         .record(std::chrono::duration<double>(boot_now() - begin_).count());
-    if (auto const broken = co_await reader.read_rest(answer.body, max_held_bytes))
+    if (auto const broken = co_await read_whole(reader, answer.body))
         co_return end_of_broken(broken, attempt_end::lost);
     if (aborted())
         co_return attempt_end::cancelled;
@@ -118,6 +118,43 @@
     co_return attempt_end::finished;
 }
 
+template <entry_dialect Dialect>
+boost::asio::awaitable<typename entry_exchange<Dialect>::error_code>
+entry_exchange<Dialect>::read_whole(answer_reader& reader, std::string& body)
+{
+    auto const kept = fallback_ ? fallback_->body.size() : 0;
+
+    // Pages that are not written yet take no memory, and copies would
+    if (auto const length = reader.length(); length && *length <= max_held_bytes)
+        body.reserve(*length);
+    error_code error;
+    while (!error && (reader.has_buffered_body() || !reader.is_done()))
+    {
+        auto const bytes = kept + body.size() + answer_read_bytes;
+        if (!session_->holds_answer(bytes) && !co_await hold_answer(bytes))
+            co_return boost::asio::error::operation_aborted;
+        error = co_await reader.read_some(body);
+        if (body.size() > max_held_bytes)
+            error = boost::beast::http::error::body_limit;
+    }
+    co_return error;
+}
+
+template <entry_dialect Dialect>
+boost::asio::awaitable<bool> entry_exchange<Dialect>::hold_answer(std::size_t bytes)
+{
+    control_->set_cancel_wait([this] { session_->cancel_hold(); });
+    auto const refusal = co_await session_->hold_answer(bytes);
+    control_->set_cancel_wait(nullptr);
+    if (refusal != error_kind::none)
+    {
+        // Requests that follow on this connection would need as much
+        session_->close_after_answer();
+        control_->abort(error_kind::host_full);
+    }
+    co_return !aborted();
+}
+
 template <entry_dialect Dialect>
 boost::asio::awaitable<attempt_end>
 entry_exchange<Dialect>::forward_stream(answer_reader& reader)
@@ -130,7 +167,10 @@
         co_return attempt_end::invalid_answer;
     while (!error && (!reader.is_done() || reader.has_buffered_body()))
     {
-        error = co_await reader.read_some(bytes);
+        // An event is kept until it is complete
+        auto const held = events_.buffered_bytes() + answer_read_bytes;
+        if (session_->holds_answer(held) || co_await hold_answer(held))
+            error = co_await reader.read_some(bytes);
         if (aborted())
             co_return attempt_end::cancelled;
         auto const valid = events_.push(bytes, events);
--- a/serving/entry/entry_exchange_forward.inl
+++ b/serving/entry/entry_exchange_forward.inl
@@ -114,7 +114,7 @@
         co_return co_await forward_stream(reader);
 
     held_answer answer{.head = Dialect::caller_head(head), .body = {}};
-    if (co_await reader.read_rest(answer.body, max_held_bytes))
+    if (co_await read_whole(reader, answer.body))
         co_return end_after_failure(attempt_end::lost);
     if (aborted())
         co_return attempt_end::cancelled;
--- a/serving/entry/entry_metrics.hpp
+++ b/serving/entry/entry_metrics.hpp
@@ -64,6 +64,23 @@
 inline constexpr metric history_changes_metric{
     .name = "marjorampath_store_history_changes_total",
     .help = "Times that the store was found restored from a copy, by what was read."};
+/// Bytes of messages that are held for others, beyond the allowance of each connection.
+inline constexpr metric held_bytes_metric{
+    .name = "marjorampath_held_message_bytes",
+    .help = "Bytes of requests and answers that this host holds.",
+    .kind = metric_kind::gauge};
+/// Open connections by class.
+inline constexpr metric connections_metric{.name = "marjorampath_open_connections",
+                                           .help = "Open connections by class.",
+                                           .kind = metric_kind::gauge};
+/// Connections that were closed or whose request was ended for others by reason.
+inline constexpr metric evictions_metric{
+    .name = "marjorampath_evictions_total",
+    .help = "Connections that made room for others, by what they waited for."};
+/// Connections and messages that got no place or memory.
+inline constexpr metric refusals_metric{
+    .name = "marjorampath_host_full_total",
+    .help = "Connections and messages that were refused, by what this host lacked."};
 /// Time to the first byte of an endpoint's answer.
 inline constexpr metric first_byte_metric{
     .name = "marjorampath_first_byte_seconds",
--- a/serving/entry/entry_node.hpp
+++ b/serving/entry/entry_node.hpp
@@ -108,9 +108,8 @@
                                                             "Operator-Complete-Era"};
     // Fields that a host adds to a request that it passes on, in bytes
     static constexpr std::uint32_t max_forward_fields_bytes = 1'024;
-    // Callers may open this many times as many connections as other hosts that pass
-    // requests on
-    static constexpr std::size_t forward_connections_divisor = 4;
+    // Largest body of a request to the service addresses, in bytes
+    static constexpr std::uint64_t max_service_body_bytes = 4'096;
     // Largest answer that is read from a peer, in bytes: a megabyte of configuration and
     // thousands of adapter versions
     static constexpr std::size_t max_relay_answer_bytes = 8'000'000;
@@ -174,8 +173,11 @@
 
     // Makes the state that the exchanges share
     entry_context make_context();
-    // Limits on requests that other hosts pass on
+    // Limits on requests that other hosts pass on, and of the service addresses
     [[nodiscard]] caller_limits forward_limits() const;
+    [[nodiscard]] static caller_limits service_limits();
+    // Sets the metrics of what this host holds
+    void update_resource_metrics();
     // Makes the handler of requests, of callers or passed on by other hosts
     auto make_handler(bool forwarded);
     // Refuses a request whose caller may not send it, before its body is read
@@ -412,6 +414,8 @@
     boost::asio::steady_timer listing_timer_;
     boost::asio::steady_timer watch_timer_;
     metrics_registry metrics_;
+    // What this host holds for others
+    std::shared_ptr<host_resources> resources_;
     // State that the exchanges share
     entry_context context_;
     // State that the connections to the service addresses share
--- a/serving/entry/entry_node.inl
+++ b/serving/entry/entry_node.inl
@@ -6,22 +6,36 @@
                                  std::function<entry_settings_or_problems()> reload)
     : settings_(std::move(settings)), reload_(std::move(reload)), signals_(loop_),
       notice_timer_(loop_), grace_timer_(loop_), periodic_timer_(loop_),
-      listing_timer_(loop_), watch_timer_(loop_), context_(make_context()),
+      listing_timer_(loop_), watch_timer_(loop_),
+      resources_(std::make_shared<host_resources>(
+          loop_, resource_budget_options{
+                     .limits = divide_resources(
+                         {.memory_bytes = settings_.memory_mb * bytes_per_mebibyte,
+                          .descriptors = settings_.descriptors})})),
+      context_(make_context()),
       service_context_{
           .loop = loop_,
-          .limits = {},
+          .limits = service_limits(),
           .handle_request = [this](caller_session& session, caller_message const& message)
-          { return answer_service(session, message); }},
+          { return answer_service(session, message); },
+          .resources = resources_,
+          .of = connection_class::control},
       forward_context_{.loop = loop_,
                        .limits = forward_limits(),
                        .handle_request = make_handler(true),
                        .refuse_head = [this](caller_message const& message)
-                       { return refuse_head(message); }},
+                       { return refuse_head(message); },
+                       .resources = resources_,
+                       .of = connection_class::hosts},
       callers_(context_.callers), forwards_(forward_context_),
       readiness_(service_context_), relay_(service_context_),
       metrics_listener_(service_context_),
       source_(loop_.get_executor(), {.server = settings_.store}),
-      order_connections_(loop_.get_executor(), {.source = settings_.outgoing}),
+      order_connections_(
+          loop_.get_executor(),
+          {.max_idle = resources_->budget().limits().connections_of(
+               connection_class::control),
+           .source = settings_.outgoing}),
       engines_(order_connections_, settings_.host), catalog_({}),
       planner_(
           {.takeover_delay = settings_.order_quiet + std::chrono::milliseconds(100)}),
@@ -36,7 +50,14 @@
 {
     auto limits = context_.callers.limits;
     limits.max_head_bytes += max_forward_fields_bytes;
-    limits.max_connections /= forward_connections_divisor;
+    return limits;
+}
+
+template <entry_platform Platform>
+caller_limits entry_node<Platform>::service_limits()
+{
+    caller_limits limits;
+    limits.max_body_bytes = max_service_body_bytes;
     return limits;
 }
 
@@ -60,16 +81,17 @@
 template <entry_platform Platform>
 entry_context entry_node<Platform>::make_context()
 {
-    // Connections of callers and to endpoints share the file descriptors
-    auto const connections = static_cast<std::size_t>(settings_.descriptors) / 2;
+    auto const endpoint_connections =
+        resources_->budget().limits().connections_of(connection_class::endpoints);
     auto const seed = hash_combine(hash_bytes(settings_.host),
                                    static_cast<std::uint64_t>(wall_now().count()));
     return {
         .callers = {.loop = loop_,
-                    .limits = {.max_connections = connections},
+                    .limits = {},
                     .handle_request = make_handler(false),
                     .refuse_head = [this](caller_message const& message)
                     { return refuse_head(message); },
+                    .resources = resources_,
                     .request_seed = seed},
         .times = {},
         .routes = nullptr,
@@ -79,7 +101,9 @@
         .dispatch = dispatcher(zone_id::of(settings_.zone), {.seed = seed}),
         .connections =
             connection_pool(loop_.get_executor(),
-                            {.max_idle = connections / 2, .source = settings_.outgoing}),
+                            {.max_idle = endpoint_connections / 2,
+                             .source = settings_.outgoing,
+                             .resources = resources_}),
         .budgets = {},
         .quotas = quota_registry({.tolerance = settings_.quota_tolerance},
                                  host_id::of(settings_.host), boot_now()),
@@ -262,6 +286,7 @@
     }
     else if (path == "/metrics")
     {
+        update_resource_metrics();
         answer.body() = metrics_.exposition();
     }
     else
@@ -277,6 +302,7 @@
     auto const now = boot_now();
     context_.lost.expire(context_.suspects, now);
     context_.parts.forget_old(now);
+    resources_->return_freed_memory();
     log_listing_age(now);
     confirm_configuration(now);
     for (auto const service : context_.reach.due_probes(now))
@@ -310,6 +336,28 @@
         });
 }
 
+template <entry_platform Platform>
+void entry_node<Platform>::update_resource_metrics()
+{
+    auto& shard = context_.metrics.shard;
+    auto& budget = resources_->budget();
+    auto const& counted = resources_->counted();
+    shard.number(held_bytes_metric).set(static_cast<double>(budget.reserved_bytes()));
+    for (std::size_t index = 0; index < connection_classes; ++index)
+    {
+        auto const of = static_cast<connection_class>(index);
+        shard.number(connections_metric, metric_label("class", to_string(of)))
+            .set(static_cast<double>(budget.connections(of)));
+    }
+    auto const set = [&](metric const& what, std::string_view reason, std::uint64_t count)
+    { shard.number(what, metric_label("reason", reason)).set(static_cast<double>(count)); };
+    set(evictions_metric, to_string(budget_event::evicted_idle), counted.evicted_idle);
+    set(evictions_metric, to_string(budget_event::evicted_stalled),
+        counted.evicted_stalled);
+    set(refusals_metric, "place", counted.refused_connections);
+    set(refusals_metric, "memory", counted.refused_messages);
+}
+
 template <entry_platform Platform>
 void entry_node<Platform>::publish_statuses()
 {
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -189,6 +189,10 @@
     limits.max_body_bytes = configuration->bounds.max_body_bytes;
     limits.idle_timeout = configuration->bounds.idle_timeout;
     forward_context_.limits = forward_limits();
+    auto const most_bytes = resources_->budget().limits().connection_message_bytes;
+    if (limits.max_body_bytes > most_bytes)
+        log_event(event::memory_too_small, "max_body_bytes", limits.max_body_bytes,
+                  "request_limit_bytes", most_bytes);
     for (auto const& service : configuration->services)
         context_.budgets.try_emplace(service.id, budget_options(), started_at_);
     update_engines();
--- a/serving/entry/entry_settings.cpp
+++ b/serving/entry/entry_settings.cpp
@@ -167,6 +167,7 @@
         {"revocation_margin_ms", time_field<milliseconds>(&settings::revocation_margin)},
         {"quota_tolerance", number_field<double>(&settings::quota_tolerance, 0)},
         {"descriptors", number_field<std::uint32_t>(&settings::descriptors, 64)},
+        {"memory_mb", number_field<std::uint32_t>(&settings::memory_mb, 32)},
         {"log_lines_per_second",
          number_field<std::uint32_t>(&settings::log_lines_per_second, 1)},
     };
--- a/serving/entry/entry_settings.hpp
+++ b/serving/entry/entry_settings.hpp
@@ -62,8 +62,10 @@
     duration revocation_margin = std::chrono::milliseconds(300);
     /// Part of a quota by which all hosts together may exceed it.
     double quota_tolerance = 0;
-    /// Number of file descriptors for the connections of callers and to endpoints.
+    /// Number of file descriptors of the process, of which some are set aside.
     std::uint32_t descriptors = 1'024;
+    /// Memory of the machine, in MiB.
+    std::uint32_t memory_mb = 64;
     /// Largest number of log lines of one event per second.
     std::uint32_t log_lines_per_second = 100;
 };
--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -267,6 +267,25 @@
                 "A request was refused by its caller's key before its body was read: the "
                 "key is missing, unknown or malformed, or the configuration is "
                 "unconfirmed. Equal digests are equal keys."},
+    event_entry{connection_evicted, warning, "connection_evicted",
+                "A connection was closed, or its request ended, because its client made "
+                "this host wait while others needed the place or the memory: `reason` is "
+                "idle (no request, or a part of its head) or stalled (too slow in sending "
+                "a request or in reading an answer)."},
+    event_entry{connection_refused, warning, "connection_refused",
+                "A new connection got no place, as all of its class are in use by "
+                "requests; `answered` tells whether its request gets a 503, else it was "
+                "closed."},
+    event_entry{message_refused, warning, "message_refused",
+                "A request was refused, or an answer given up, because this host holds "
+                "`reserved_bytes` of at most `limit_bytes` for others and nothing was "
+                "released in time."},
+    event_entry{handler_failed, error, "handler_failed",
+                "Serving a connection failed with an exception, for example for lack of "
+                "memory; the connection was closed."},
+    event_entry{memory_too_small, warning, "memory_too_small",
+                "The configuration allows larger bodies than this host can hold for one "
+                "request beside others; those beyond `request_limit_bytes` get a 413."},
     event_entry{request_suspected, warning, "request_suspected",
                 "A request was in flight when its endpoint crashed; it is rerun in "
                 "isolation."},
--- a/tests/process/client_limit_test.cpp
+++ b/tests/process/client_limit_test.cpp
@@ -211,11 +211,11 @@
 BOOST_AUTO_TEST_CASE(trailers_without_end)
 {
     auto const head = heads("Transfer-Encoding: chunked\r\n");
-    check({.clients = senders,
-           .head = [head](std::size_t client)
-           { return head(client) + chunk(1) + "0\r\n"; },
-           .piece = "X-Filler: " + std::string(4'000, 'a') + "\r\n",
-           .repeats = 1'000});
+    check(
+        {.clients = senders,
+         .head = [head](std::size_t client) { return head(client) + chunk(1) + "0\r\n"; },
+         .piece = "X-Filler: " + std::string(4'000, 'a') + "\r\n",
+         .repeats = 1'000});
 }
 
 // Clients of a host with few descriptors connect and send nothing
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -54,6 +54,12 @@
     return message;
 }
 
+// Body of a request as it is sent on
+std::string body_of(serving::outgoing_message const& message)
+{
+    return {message.body().data(), message.body().size()};
+}
+
 serving::answer_reader::head
 make_head(unsigned status, std::vector<std::pair<char const*, char const*>> const& fields)
 {
@@ -317,7 +323,7 @@
     BOOST_TEST(sent["X-Request-Priority"] == "9");
     BOOST_TEST(sent["X-Attempt-Id"] == "9c41");
     BOOST_TEST(sent["X-Prompt-Prefix"] == message["X-Prompt-Prefix"]);
-    BOOST_TEST(sent.body() == message.body());
+    BOOST_TEST(body_of(sent) == message.body());
 }
 
 BOOST_AUTO_TEST_CASE(endpoint_response_heads_are_classified)
@@ -382,7 +388,7 @@
     BOOST_TEST(passed["Host"] == "a.example");
     BOOST_TEST(passed["X-Attempt-Id"] == "9c41");
     BOOST_TEST(passed["X-Deadline-Ms"] == "1234");
-    BOOST_TEST(passed.body() == "body");
+    BOOST_TEST(body_of(passed) == "body");
     BOOST_TEST(passed["Connection"].empty());
     BOOST_TEST(passed["Resumes"].empty());
     BOOST_TEST(passed["X-Expect-Instance"].empty());
--- a/tests/unit/remote/unparsed_bytes_test.cpp
+++ b/tests/unit/remote/unparsed_bytes_test.cpp
@@ -154,7 +154,7 @@
     server.run(
         [&]() -> asio::awaitable<void>
         {
-            auto const connection = std::make_shared<tcp::socket>(server.loop);
+            auto const connection = std::make_shared<endpoint_socket>(server.loop);
             co_await connection->async_connect(server.acceptor.local_endpoint(),
                                                asio::use_awaitable);
             answer_reader reader(connection);
