Read the operator's time for a request's head, and answer 408 behind it

Callers with half a head kept a connection for 30 s and were closed without an answer. Cause: headerTimeoutMs was never read; one limit held for the whole request. Change: the time for a head runs from its first byte (10 s where the configuration has none); a head or a body that does not arrive in time is answered 408, as not run. Evidence: caller_resources/a_head_that_stops_is_answered_as_not_run fails without the change and passes with it.

--- a/marjorampath/deployment/deployment.hpp
+++ b/marjorampath/deployment/deployment.hpp
@@ -18,6 +18,8 @@
     std::uint32_t max_head_bytes = 16'384;
     /// Largest request body, in bytes.
     std::uint64_t max_body_bytes = 4'194'304;
+    /// Time within which the head of a request must arrive.
+    duration head_timeout = std::chrono::seconds(10);
     /// Time after which an idle connection is closed.
     duration idle_timeout = std::chrono::seconds(15);
 };
--- a/serving/caller/caller_limits.hpp
+++ b/serving/caller/caller_limits.hpp
@@ -18,6 +18,8 @@
     /// Maximum size of an engine's non-streamed answer, in bytes; such an answer is
     /// buffered until it is complete.
     std::size_t max_whole_answer_bytes = 8'388'608;
+    /// Maximum time for receiving the head of a request, from its first byte.
+    duration head_timeout = std::chrono::seconds(10);
     /// Time after which a connection with no request in progress is closed.
     duration idle_timeout = std::chrono::seconds(75);
     /// Maximum time for receiving a complete request, and for sending an answer that is
--- a/serving/caller/caller_session.cpp
+++ b/serving/caller/caller_session.cpp
@@ -123,8 +123,16 @@
 void caller_session::close_if_expired(time_point now)
 {
     error_code ignored;
-    if (now >= expires_at_)
+    if (now < expires_at_)
+        return;
+    if (!receiving_)
+    {
         socket_.close(ignored);
+        return;
+    }
+    timed_out_ = true;
+    place_.cancel_hold();
+    socket_.cancel(ignored);
 }
 
 asio::awaitable<bool> caller_session::wait_for_request()
@@ -147,7 +155,7 @@
 {
     keep_alive_ = true;
     request_name_ = fmt::format("{:016x}", context_->next_request_id().number());
-    begun_ = expire_after(context_->limits.receive_timeout);
+    begun_ = expire_after(context_->limits.head_timeout);
 
     // Destroyed before a failure is answered, so that nobody waits for the memory of a
     // request that is given up
--- a/serving/caller/caller_session.hpp
+++ b/serving/caller/caller_session.hpp
@@ -41,8 +41,8 @@
     /// current answer.
     void stop();
 
-    /// Closes the connection if its current time limit (for idling, receiving a request
-    /// or sending an answer) has passed.
+    /// Ends what the connection does if the time limit for it (idling, receiving a
+    /// request or sending an answer) has passed.
     void close_if_expired(time_point now);
 
     /// Reserves memory for an answer of so many bytes to the current request, besides
@@ -226,7 +226,7 @@
     bool refuse_only_ = false;
     // Whether a request is being received
     bool receiving_ = false;
-    // Whether others need the memory of what was received
+    // Whether that took too long, or others need its memory
     bool timed_out_ = false;
     // Whether a request is in progress
     bool busy_ = false;
--- a/serving/entry/entry_node_view.inl
+++ b/serving/entry/entry_node_view.inl
@@ -187,6 +187,7 @@
     auto& limits = context_.callers.limits;
     limits.max_head_bytes = configuration->bounds.max_head_bytes;
     limits.max_body_bytes = configuration->bounds.max_body_bytes;
+    limits.head_timeout = configuration->bounds.head_timeout;
     limits.idle_timeout = configuration->bounds.idle_timeout;
     forward_context_.limits = forward_limits();
     auto const most_bytes = resources_->budget().limits().connection_message_bytes;
--- a/tests/unit/caller/caller_resources_test.cpp
+++ b/tests/unit/caller/caller_resources_test.cpp
@@ -136,7 +136,7 @@
                                 .discard_burst = 1'000'000});
     caller_context context{
         .loop = loop,
-        .limits = {.max_body_bytes = max_body_bytes},
+        .limits = {.max_body_bytes = max_body_bytes, .head_timeout = 300ms},
         .handle_request = [this](caller_session& session, caller_message const& message)
         { return handle(session, message); },
         .resources = resources};
@@ -159,6 +159,19 @@
 
 BOOST_AUTO_TEST_SUITE(caller_resources)
 
+// A head that stopped kept its connection for the time of a whole request
+BOOST_AUTO_TEST_CASE(a_head_that_stops_is_answered_as_not_run)
+{
+    resources_fixture host;
+    auto const& stopped = host.start("POST /x HTTP/1.1\r\nHost: a");
+    host.run_until_answered(stopped, 408);
+    BOOST_TEST(contains(stopped, "X-Outcome: not-run"));
+    auto const& idle = host.start({});
+    auto const& ordinary = host.start(request("/x", 0, 0));
+    host.run_until_answered(ordinary, 200);
+    BOOST_TEST(!idle.ended);
+}
+
 // Bodies that stop kept their memory for 30 seconds
 BOOST_AUTO_TEST_CASE(a_body_that_stops_yields_to_one_that_arrives)
 {
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/platform/platform_test.cpp
@@ -91,6 +91,7 @@
     BOOST_TEST(read->services.at(0).engine->adapter_slots == 8u);
     BOOST_TEST(read->services.at(0).engine->models.at(0).name == "m");
     BOOST_TEST(!read->services.at(1).engine);
+    BOOST_TEST((read->bounds.head_timeout == 3s));
     BOOST_TEST((read->bounds.idle_timeout == 15s));
 }
 
