Blame neither endpoint nor content for a stream that its caller does not read

Callers saw requests refused as suspects, and endpoints ejected, because others had stopped reading streams. Cause: an endpoint cuts off what stays unread, and that end counted as a lost connection. Change: an attempt keeps the longest time for which its caller, or the host's memory, kept it from reading; behind 1 s a broken connection ends it as unread, which says nothing of the endpoint or the content. A stream that may be continued goes on.

--- a/marjorampath/dispatch/attempt_end.hpp
+++ b/marjorampath/dispatch/attempt_end.hpp
@@ -31,7 +31,10 @@
     /// The caller disconnected or its deadline passed.
     cancelled,
     /// The head of the answer, or a line between its chunks, exceeded the limit.
-    oversized_answer
+    oversized_answer,
+    /// The connection broke after this host had not read the answer for some time,
+    /// because its caller did not read.
+    unread
 };
 
 /// Returns the name used in logs.
--- a/marjorampath/dispatch/dispatcher.cpp
+++ b/marjorampath/dispatch/dispatcher.cpp
@@ -328,6 +328,7 @@
         view.breaker.fail(1, limits, now, random_);
         break;
     case attempt_end::cancelled:
+    case attempt_end::unread:
         view.breaker.inconclusive();
         break;
     }
--- a/serving/entry/entry_exchange.hpp
+++ b/serving/entry/entry_exchange.hpp
@@ -94,6 +94,8 @@
     static constexpr unsigned max_refused_permits = 3;
     // Logged in place of a rate limit where none is in force
     static constexpr double no_rate_limit = -1;
+    // Time for which an answer is not read after which its endpoint may cut it off
+    static constexpr duration max_unread_time = std::chrono::seconds(1);
     // Most hosts that a request is passed to
     static constexpr std::size_t max_peers = 2;
     // Most waits of one request for its adapter
@@ -314,6 +316,8 @@
     time_point first_events_at_;
     // When the last events of the current attempt were forwarded
     time_point last_events_at_;
+    // Longest time for which the current attempt did not read what the endpoint sent
+    duration longest_unread_{0};
     // Longest pause between events of the current attempt
     duration longest_pause_{0};
     // Attempts that were sent to an endpoint
--- a/serving/entry/entry_exchange.inl
+++ b/serving/entry/entry_exchange.inl
@@ -221,6 +221,7 @@
     endpoint_answered_ = false;
     attempt_after_event_ = events_.last_id().value_or(0);
     longest_pause_ = {};
+    longest_unread_ = {};
     timeout_ = nullptr;
 }
 
@@ -313,7 +314,11 @@
 {
     if (aborted())
         return attempt_end::cancelled;
-    return timeout_ && timeout_->expired ? attempt_end::timed_out : end;
+    if (timeout_ && timeout_->expired)
+        return attempt_end::timed_out;
+    return end == attempt_end::lost && longest_unread_ >= max_unread_time
+               ? attempt_end::unread
+               : end;
 }
 
 template <entry_dialect Dialect>
@@ -427,6 +432,12 @@
     case attempt_end::unreachable:
         excluded_endpoints_.push_back(endpoint.id);
         break;
+    case attempt_end::unread:
+        ++possible_runs_;
+        events_.restart();
+        if (!may_run_again())
+            co_await conclude_failed(error_kind::endpoint_lost, {});
+        break;
     case attempt_end::failed:
     case attempt_end::lost:
     case attempt_end::invalid_answer:
--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -143,9 +143,11 @@
 template <entry_dialect Dialect>
 boost::asio::awaitable<bool> entry_exchange<Dialect>::hold_answer(std::size_t bytes)
 {
+    auto const begin = boot_now();
     control_->set_cancel_wait([this] { session_->cancel_hold(); });
     auto const refusal = co_await session_->hold_answer(bytes);
     control_->set_cancel_wait(nullptr);
+    longest_unread_ = std::max(longest_unread_, boot_now() - begin);
     if (refusal != error_kind::none)
     {
         // Requests that follow on this connection would need as much
@@ -232,6 +234,7 @@
     }
     if (!aborted() && co_await session_->write_body(events))
         control_->abort(error_kind::caller_gone);
+    longest_unread_ = std::max(longest_unread_, session_->last_write_wait());
     co_return !aborted();
 }
 
