Log a connection whose handler failed with an exception

Cause: the exception, such as a failed allocation, was dropped without a line. Change: handler_failed names the request and the error.

--- a/serving/caller/caller_listener.cpp
+++ b/serving/caller/caller_listener.cpp
@@ -1,6 +1,7 @@
 #include <serving/caller/caller_listener.hpp>
 #include <serving/caller/caller_session.hpp>
 #include <serving/clock/boot_time.hpp>
+#include <serving/telemetry/log.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <exception>
+#include <string>
 #include <utility>
 
 namespace marjorampath::serving
@@ -26,6 +28,23 @@
 // Interval of the check for connections whose time limit has passed
 constexpr auto expiry_check_interval = std::chrono::milliseconds(250);
 
+// What an exception says of its cause
+std::string describe(std::exception_ptr const& failure)
+{
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (std::exception const& known)
+    {
+        return known.what();
+    }
+    catch (...)
+    {
+        return "unknown exception";
+    }
+}
+
 } // namespace
 
 caller_listener::caller_listener(caller_context& context)
@@ -118,8 +137,13 @@
         return;
     sessions_.insert(session);
     asio::co_spawn(context_->loop, session->run(),
-                   [this, session](std::exception_ptr const& /*failure*/)
-                   { remove_session(session); });
+                   [this, session](std::exception_ptr const& failure)
+                   {
+                       if (failure)
+                           log_event(event::handler_failed, "request",
+                                     session->request_name(), "error", describe(failure));
+                       remove_session(session);
+                   });
 }
 
 void caller_listener::remove_session(std::shared_ptr<caller_session> const& session)
