--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -102,6 +102,15 @@
                      "--large-changes 0 --revocations 3");
 }
 
+// Clients that keep to no limit held the memory and the connections of nodes, and
+// ordinary callers beside them got nothing
+BOOST_AUTO_TEST_CASE(ordinary_callers_are_served_beside_a_crowd)
+{
+    constexpr unsigned seed = 7301;
+    check_soak(seed, "--seconds 8 --limits 0 --gap 2000 --cuts 0 --crashing-callers 0 "
+                     "--large-changes 0 --crowd 200");
+}
+
 // Nodes ignored what was written to a restored store: configurations, and endpoints that
 // left
 BOOST_AUTO_TEST_CASE(a_store_that_returns_from_a_copy_keeps_all_promises)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -69,6 +69,9 @@
     TCLAP::ValueArg<std::size_t> crashing_callers("", "crashing-callers",
                                                   "Callers whose requests crash engines",
                                                   false, 1, "number", command);
+    TCLAP::ValueArg<std::size_t> crowd("", "crowd",
+                                       "Clients of each node that keep to no limit",
+                                       false, 0, "number", command);
     TCLAP::ValueArg<int> cuts("", "cuts", "Cuts of nodes from all endpoints", false, 1,
                               "number", command);
     TCLAP::ValueArg<int> large_changes(
@@ -111,7 +114,8 @@
                       .link_rate = link_rate.getValue()},
             .callers = callers.getValue(),
             .added_routes = added_routes.getValue(),
-            .crashing_callers = crashing_callers.getValue()};
+            .crashing_callers = crashing_callers.getValue(),
+            .crowd = crowd.getValue()};
         kept = run_seed(options, keep.getValue()) && kept;
     }
     return kept ? 0 : 1;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -109,13 +109,16 @@
             "host: \"node-{}\"\nzone: \"{}\"\ncallers: \"{}\"\n"
             "readiness: \"{}\"\nreadiness_path: \"{}\"\nrelay: \"{}\"\n"
             "peers: \"{}\"\nseeds: [\"{}\"]\nstore: \"{}\"\n"
-            "outgoing: \"{}\"\ngrace_s: 8\n{}",
+            "outgoing: \"{}\"\ngrace_s: 8\n{}{}",
             index, zones.at(index % zones.size()), format_address(callers_[index]),
             format_address(nodes[index].readiness), readiness_path, relays_[index],
             peers_[index], fmt::join(seeds_, "\", \""),
             format_address(nodes[index].store->address()),
             callers_[index].address().to_string(),
-            options_.revocations > 0 ? "revocation_ms: 5000\n" : "");
+            options_.revocations > 0 ? "revocation_ms: 5000\n" : "",
+            options_.descriptors > 0
+                ? fmt::format("descriptors: {}\n", options_.descriptors)
+                : "");
 }
 
 std::string soak_fleet::endpoint_name(std::size_t index) const
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -50,6 +50,8 @@
         std::size_t revocations = 0;
         /// Part of a prompt that crashes engines; empty for none.
         std::string crashing_part;
+        /// File descriptors of each node; zero for the default.
+        std::uint32_t descriptors = 0;
         /// Folder for settings, logs and records.
         std::filesystem::path folder;
     };
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -46,6 +46,9 @@
 constexpr std::chrono::milliseconds store_away_time = 800ms;
 // Time from its return until its bounds hold for what is written, and delays of the soak
 constexpr std::chrono::milliseconds settled_delay(contact_ms + 500);
+// Descriptors of a node with a crowd, and the memory of a small machine
+constexpr std::uint32_t crowded_descriptors = 400;
+constexpr std::size_t most_memory_kb = 60'000;
 // Step of the loop that waits for due actions and stopping nodes
 constexpr auto poll_interval = 10ms;
 
@@ -55,6 +58,8 @@
     if (options.crashing_callers > 0)
         values.crashing_part = crashing_part;
     values.revocations = static_cast<std::size_t>(options.schedule.revocations);
+    if (options.crowd > 0)
+        values.descriptors = crowded_descriptors;
     return values;
 }
 
@@ -79,7 +84,12 @@
                 .crashing_callers = options_.crashing_callers,
                 .crashing_part = crashing_part,
                 .revocations = static_cast<std::size_t>(options_.schedule.revocations),
-                .seed = options_.schedule.seed})
+                .seed = options_.schedule.seed}),
+      crowd_(context_, {.nodes = caller_addresses(fleet_),
+                        .host = platform::standin_deployment().host,
+                        .path = platform::standin_deployment().safe,
+                        .clients = options_.crowd,
+                        .seed = options_.schedule.seed})
 {
 }
 
@@ -111,6 +121,7 @@
 {
     await_service();
     traffic_.start();
+    crowd_.start();
     auto const start = clock::now();
     for (auto const& fault : generate_schedule(options_.schedule))
         due_.emplace(start + fault.at, [this, fault] { inject(fault); });
@@ -119,6 +130,7 @@
         run_actions_until(clock::now() + poll_interval);
     fleet_.clear_faults();
     check_recovery();
+    check_memory();
     check_shutdown();
 
     evidence_.requests = traffic_.requests();
@@ -543,6 +555,20 @@
         }
 }
 
+void soak_run::check_memory()
+{
+    crowd_.stop();
+    eventually([this] { return crowd_.running() == 0; }, 10s);
+    for (std::size_t node = 0; options_.crowd > 0 && node < fleet_.nodes.size(); ++node)
+    {
+        auto const peak = fleet_.nodes[node].process->peak_memory_kb();
+        fmt::print("memory of node {}: {} KB\n", node, peak);
+        if (peak >= most_memory_kb)
+            breaches_.push_back(
+                fmt::format("node {} had {} KB under a crowd of clients", node, peak));
+    }
+}
+
 void soak_run::check_shutdown()
 {
     evidence_.shutdown_ms = monotonic_ms();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <tests/soak/soak_check.hpp>
+#include <tests/soak/soak_crowd.hpp>
 #include <tests/soak/soak_fault.hpp>
 #include <tests/soak/soak_fleet.hpp>
 #include <tests/soak/soak_traffic.hpp>
@@ -32,6 +33,8 @@
     std::size_t added_routes = 1'400;
     /// Number of callers whose requests crash engines.
     std::size_t crashing_callers = 1;
+    /// Number of clients of each node that keep to no limit.
+    std::size_t crowd = 0;
 };
 
 /// One soak: runs a fleet under traffic through a schedule of faults, its recovery and
@@ -96,6 +99,8 @@
     void restart_crashed_endpoints();
     // Checks that each node serves each kind of request again in time
     void check_recovery();
+    // Checks that the crowd took no node over the memory of a small machine
+    void check_memory();
     // Stops all nodes under traffic and checks their exit statuses
     void check_shutdown();
     // Checks that no request in flight was interrupted by a clean shutdown
@@ -107,6 +112,7 @@
     std::thread thread_;
     soak_fleet fleet_;
     soak_traffic traffic_;
+    soak_crowd crowd_;
     // Scheduled actions by time
     std::multimap<clock::time_point, std::function<void()>> due_;
     // Nodes that got SIGTERM, and when
