--- a/serving/telemetry/event_catalogue.cpp
+++ b/serving/telemetry/event_catalogue.cpp
@@ -267,11 +267,12 @@
                 "A request was refused by its caller's key before its body was read: the "
                 "key is missing, unknown or malformed, or the configuration is "
                 "unconfirmed. Equal digests are equal keys."},
-    event_entry{connection_evicted, warning, "connection_evicted",
-                "A connection was closed, or its request ended, because its client made "
-                "this host wait while others needed the place or the memory: `reason` is "
-                "idle (no request, or a part of its head) or stalled (too slow in sending "
-                "a request or in reading an answer)."},
+    event_entry{
+        connection_evicted, warning, "connection_evicted",
+        "A connection was closed, or its request ended, because its client made "
+        "this host wait while others needed the place or the memory: `reason` is "
+        "idle (no request, or a part of its head) or stalled (too slow in sending "
+        "a request or in reading an answer)."},
     event_entry{connection_refused, warning, "connection_refused",
                 "A new connection got no place, as all of its class are in use by "
                 "requests; `answered` tells whether its request gets a 503, else it was "
