Reserve the memory of an announced answer at once

Callers saw: `endpoint-lost`, outcome `unknown`, for long answers that the endpoint had sent and that they read at once. Change: `read_whole` reserves an announced length before it reads. Test: client_limits/long_answers_of_callers_that_read_are_all_served, 16 callers that read, without a crowd.

--- a/serving/entry/entry_exchange_answer.inl
+++ b/serving/entry/entry_exchange_answer.inl
@@ -124,9 +124,15 @@
 {
     auto const kept = fallback_ ? fallback_->body.size() : 0;
 
-    // Pages that are not written yet take no memory, and copies would
+    // An announced length is reserved at once: of many answers that each hold a part of
+    // the memory, none could be completed
     if (auto const length = reader.length(); length && *length <= max_held_bytes)
+    {
+        auto const bytes = kept + *length + answer_read_bytes;
+        if (!session_->holds_answer(bytes) && !co_await hold_answer(bytes))
+            co_return boost::asio::error::operation_aborted;
         body.reserve(*length);
+    }
     error_code error;
     while (!error && (reader.has_buffered_body() || !reader.is_done()))
     {
--- a/tests/process/client_limit_test.cpp
+++ b/tests/process/client_limit_test.cpp
@@ -8,9 +8,11 @@
 
 #include <chrono>
 #include <functional>
+#include <future>
 #include <platform/standin/operator_documents.hpp>
 #include <string>
 #include <tuple>
+#include <vector>
 
 using namespace marjorampath;
 using namespace marjorampath::test;
@@ -36,6 +38,8 @@
 constexpr std::size_t long_answer_bytes = 3'000'000;
 // Requests that such a client sends behind each other
 constexpr std::size_t pipelined_requests = 20;
+// Callers that read such answers: together they take twice what a node may reserve
+constexpr std::size_t reading_callers = 16;
 // Descriptors of a host with few, all of which the callers of a crowd try to take
 constexpr std::size_t few_descriptors = 400;
 // Body that is passed on by another host without its end
@@ -189,6 +193,31 @@
           {.plain_body_bytes = long_answer_bytes, .endpoint_slots = 100});
 }
 
+// Callers that read their long answers, which together take more memory than the node has
+// for them: each waited with a part of its answer, and most were refused
+BOOST_AUTO_TEST_CASE(long_answers_of_callers_that_read_are_all_served)
+{
+    entry_process entry({.plain_body_bytes = long_answer_bytes, .endpoint_slots = 100});
+    platform::standin_deployment const deployment;
+    std::vector<std::future<test_answer>> answers;
+    for (std::size_t caller = 0; caller < reading_callers; ++caller)
+        answers.push_back(std::async(
+            std::launch::async,
+            [&, caller]
+            {
+                return call(entry.node().address(), "GET", deployment.safe + "x", {},
+                            {{"Host", deployment.host},
+                             {"X-Attempt-Id", fmt::format("reader-{}", caller)},
+                             {"X-Deadline-Ms", "15000"}});
+            }));
+    for (auto& answer : answers)
+    {
+        auto const received = answer.get();
+        BOOST_TEST(received.status == 200U);
+        BOOST_TEST(received.body.size() == long_answer_bytes);
+    }
+}
+
 // Clients send many requests behind each other and read none of the long answers
 BOOST_AUTO_TEST_CASE(pipelined_requests_whose_answers_nobody_reads)
 {
