Bound what the callers of marjorampathd make it hold

Callers saw: nothing yet; found by reading, as the account was joined to the entry node alone. A crowd made a node of marjorampathd hold whatever it sent, and took every descriptor of its machine. Cause: its traffic threads had limits for each connection and no account. Change: each thread has an account of an equal part of `limits.memory_mb` and `limits.descriptors` (new settings, 4,096 and 65,536). Copies of requests, whole answers and the kept text of streams are reserved; a request without memory is refused as not run (503 host-full), a short answer is forwarded as it comes, a stream gives up the text with which it could be restarted. A text that was dropped kept nothing of what the present run continues, so that a resumption would have repeated another request; shown by `dropped_text_keeps_what_the_present_run_continues`.

--- a/serving/engine/event_stream.cpp
+++ b/serving/engine/event_stream.cpp
@@ -213,9 +213,7 @@
         text = json_string_after(data, "\"content\":");
     if (text_.size() + text.size() > options_.max_text_bytes)
     {
-        // Too long to restart from; free the memory
-        text_complete_ = false;
-        text_ = std::string();
+        drop_text();
         return;
     }
     text_ += text;
@@ -223,6 +221,14 @@
         generation_ended_ = true;
 }
 
+void event_stream::drop_text()
+{
+    // A resumption repeats the request of the present run, which continues this part
+    text_complete_ = false;
+    text_.resize(text_bytes_before_restart_);
+    text_.shrink_to_fit();
+}
+
 void event_stream::resume()
 {
     partial_.clear();
--- a/serving/engine/event_stream.hpp
+++ b/serving/engine/event_stream.hpp
@@ -79,6 +79,16 @@
         return options_.keep_text && text_complete_ && !generation_ended_;
     }
 
+    /// Bytes of incomplete events and of delivered text that are kept.
+    [[nodiscard]] std::size_t held_bytes() const noexcept
+    {
+        return partial_.size() + text_.size();
+    }
+
+    /// Gives up the delivered text, except what the present run continues; the stream
+    /// cannot be restarted any more.
+    void drop_text();
+
     /// The text that was delivered before the last restart, escaped as inside a JSON
     /// string.
     [[nodiscard]] std::string_view text_before_restart() const noexcept
--- a/serving/engine/model_exchange.cpp
+++ b/serving/engine/model_exchange.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t max_error_bytes = 65'536;
 // Length to which an engine's error message is truncated for the caller
 constexpr std::size_t max_message_bytes = 300;
+// Retry-After value in the answer to a request for which the host has no memory
+constexpr auto full_retry_pause = std::chrono::seconds(1);
 
 // The message in an engine's error document; empty if there is none
 std::string engine_message(std::string_view document)
@@ -113,12 +115,70 @@
     session_->watch_disconnect([control = control_]
                                { control->abort(error_kind::caller_gone); });
 
-    co_await run_attempts();
+    // Each attempt sends a copy of the request
+    if (co_await hold(0))
+        co_await run_attempts();
+    else
+        co_await give_up({.action = retry_action::give_up,
+                          .kind = error_kind::host_full,
+                          .retry_after = full_retry_pause});
 
     session_->unwatch_disconnect();
     control_->finish();
 }
 
+bool model_exchange::holds(std::size_t bytes) const
+{
+    return session_->holds_answer(request_->message->body().size() + bytes);
+}
+
+asio::awaitable<bool> model_exchange::hold(std::size_t bytes)
+{
+    if (holds(bytes))
+        co_return true;
+    control_->set_cancel_wait([this] { session_->cancel_hold(); });
+    auto const refusal =
+        co_await session_->hold_answer(request_->message->body().size() + bytes);
+    control_->set_cancel_wait(nullptr);
+    co_return refusal == error_kind::none;
+}
+
+asio::awaitable<bool> model_exchange::hold_stream()
+{
+    auto held = co_await hold(events_.held_bytes() + answer_read_bytes);
+    if (!held)
+    {
+        events_.drop_text();
+        held = co_await hold(events_.held_bytes() + answer_read_bytes);
+    }
+    co_return held;
+}
+
+asio::awaitable<error_code> model_exchange::read_whole(answer_reader& reader,
+                                                       std::string& document)
+{
+    // An announced length is reserved at once: of many answers that each hold a part of
+    // the memory, none could be completed
+    auto const limit = context_->callers.limits.max_whole_answer_bytes;
+    if (auto const length = reader.length(); length && *length <= limit)
+    {
+        if (!co_await hold(*length + answer_read_bytes))
+            co_return asio::error::no_memory;
+        document.reserve(*length);
+    }
+    error_code error;
+    while (!error && (reader.has_buffered_body() || !reader.is_done()))
+    {
+        auto const bytes = document.size() + answer_read_bytes;
+        if (!holds(bytes) && !co_await hold(bytes))
+            co_return asio::error::no_memory;
+        error = co_await reader.read_some(document);
+        if (document.size() > limit)
+            error = http::error::body_limit;
+    }
+    co_return error;
+}
+
 asio::awaitable<void> model_exchange::run_attempts()
 {
     retry_step step{.action = retry_action::request_new_grant, .kind = error_kind::none};
@@ -204,6 +264,11 @@
     if (!connection)
     {
         connection = context_->connections.make_socket();
+        if (!connection && resuming)
+            co_return handle_interruption(error_kind::endpoint_lost, true);
+        if (!connection)
+            co_return attempt_result{.next = decision_->on_connect_failed(),
+                                     .reason = release_reason::refused};
         control_->set_connection(connection);
         auto const connect_error =
             co_await connection_pool::connect(connection, endpoint_->address);
@@ -339,6 +404,8 @@
     {
         received.clear();
         output.clear();
+        if (!holds(events_.held_bytes() + answer_read_bytes) && !co_await hold_stream())
+            break;
         auto const error = co_await reader.read_some(received);
         events_.push(received, output);
         if (!output.empty())
@@ -365,8 +432,11 @@
 model_exchange::relay_whole(answer_reader& reader)
 {
     std::string document;
-    auto const error = co_await reader.read_rest(
-        document, context_->callers.limits.max_whole_answer_bytes);
+    auto const error = co_await read_whole(reader, document);
+    if (error == asio::error::no_memory && control_->reason() == error_kind::none)
+        co_return attempt_result{
+            .next = {.action = retry_action::give_up, .kind = error_kind::endpoint_lost},
+            .reason = release_reason::cancelled};
     if (error || !reader.is_framed())
         co_return handle_interruption(error_kind::endpoint_lost, false);
 
--- a/serving/engine/model_exchange.hpp
+++ b/serving/engine/model_exchange.hpp
@@ -52,6 +52,21 @@
     // Runs attempts until one ends the exchange
     boost::asio::awaitable<void> run_attempts();
 
+    // Whether so many bytes besides the request and its copy are reserved
+    [[nodiscard]] bool holds(std::size_t bytes) const;
+
+    // Reserves memory for so many bytes besides the request and its copy, if the host has
+    // it in time
+    boost::asio::awaitable<bool> hold(std::size_t bytes);
+
+    // Reserves memory for what is kept of a stream; gives up the delivered text if there
+    // is none, so that only a restart becomes impossible
+    boost::asio::awaitable<bool> hold_stream();
+
+    // Reads the rest of an answer that is not streamed
+    boost::asio::awaitable<boost::system::error_code> read_whole(answer_reader& reader,
+                                                                 std::string& document);
+
     // Requests a grant; sets endpoint_ if one is granted
     boost::asio::awaitable<retry_step> request_grant();
 
--- a/serving/node/node.cpp
+++ b/serving/node/node.cpp
@@ -120,6 +120,11 @@
 {
     auto const host = host_id::of(settings_.host);
 
+    machine_resources const share{
+        .memory_bytes =
+            settings_.memory_mb * bytes_per_mebibyte / settings_.traffic_threads,
+        .descriptors = settings_.descriptors / settings_.traffic_threads};
+
     // The start time makes request identifiers unique across restarts
     auto const start = static_cast<std::uint64_t>(wall_now().count());
     for (std::uint32_t index = 0; index < settings_.traffic_threads; ++index)
@@ -128,6 +133,7 @@
             .host = host,
             .limits = settings_.limits,
             .connections = settings_.connections,
+            .resources = divide_resources(share),
             .request_seed = hash_combine(hash_combine(host.number(), start), index),
         };
         workers_.push_back(std::make_unique<traffic_worker>(options, control_, grants_));
--- a/serving/node/traffic_worker.hpp
+++ b/serving/node/traffic_worker.hpp
@@ -5,8 +5,10 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <memory>
 #include <thread>
 
 namespace marjorampath::serving
@@ -21,6 +23,8 @@
     caller_limits limits;
     /// Limits of the connection pool.
     connection_pool_options connections;
+    /// What the thread may hold for its callers.
+    resource_limits resources;
     /// Seed of the request identifiers; must be unique to this thread and process run.
     std::uint64_t request_seed = 0;
 };
@@ -64,12 +68,19 @@
     void join();
 
 private:
+    // Gives freed memory back to the system, now and regularly
+    void return_memory();
+
     // Event loop of the traffic thread
     boost::asio::io_context loop_{1};
     // Keeps the loop running while it has no work
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
     // Event loop of the control thread
     boost::asio::io_context* control_;
+    // Bounds what the thread holds for its callers
+    std::shared_ptr<host_resources> resources_;
+    // Fires when freed memory may be given back to the system
+    boost::asio::steady_timer memory_timer_;
     // Objects shared by the thread's exchanges
     traffic_context context_;
     // Accepts callers
--- a/serving/service/plain_exchange.cpp
+++ b/serving/service/plain_exchange.cpp
@@ -26,6 +26,8 @@
 // Maximum size of an answer that is buffered until it is complete, in bytes. Nothing of
 // it has reached the caller if the endpoint fails, so the request can be repeated
 constexpr std::uint64_t max_buffered_answer_bytes = 65'536;
+// Retry-After value in the answer to a request for which the host has no memory
+constexpr auto full_retry_pause = std::chrono::seconds(1);
 
 } // namespace
 
@@ -67,12 +69,28 @@
     session_->watch_disconnect([control = control_]
                                { control->abort(error_kind::caller_gone); });
 
-    co_await run_attempts();
+    // Each attempt sends a copy of the request
+    if (co_await hold(request_->message->body().size()))
+        co_await run_attempts();
+    else
+        co_await give_up({.action = retry_action::give_up,
+                          .kind = error_kind::host_full,
+                          .retry_after = full_retry_pause});
 
     session_->unwatch_disconnect();
     control_->finish();
 }
 
+asio::awaitable<bool> plain_exchange::hold(std::size_t bytes)
+{
+    if (session_->holds_answer(bytes))
+        co_return true;
+    control_->set_cancel_wait([this] { session_->cancel_hold(); });
+    auto const refusal = co_await session_->hold_answer(bytes);
+    control_->set_cancel_wait(nullptr);
+    co_return refusal == error_kind::none;
+}
+
 asio::awaitable<void> plain_exchange::run_attempts()
 {
     retry_step step{.action = retry_action::request_new_grant, .kind = error_kind::none};
@@ -152,6 +170,9 @@
     if (!connection)
     {
         connection = context_->connections.make_socket();
+        if (!connection)
+            co_return attempt_result{.next = decision_->on_connect_failed(),
+                                     .reason = release_reason::refused};
         control_->set_connection(connection);
         auto const connect_error =
             co_await connection_pool::connect(connection, endpoint_->address);
@@ -214,9 +235,10 @@
     }
 
     // A short answer is forwarded only when complete, so that the request can be repeated
-    // if the answer is truncated
+    // if the answer is truncated; without memory for it, it is forwarded as it comes
     auto const length = reader.length();
-    if (length && *length <= max_buffered_answer_bytes)
+    if (length && *length <= max_buffered_answer_bytes &&
+        co_await hold(request_->message->body().size() + *length))
     {
         auto const error = co_await reader.read_rest(body, max_buffered_answer_bytes);
         if (error)
--- a/serving/service/plain_exchange.hpp
+++ b/serving/service/plain_exchange.hpp
@@ -51,6 +51,9 @@
     // Runs one attempt at endpoint_
     boost::asio::awaitable<attempt_result> run_attempt();
 
+    // Reserves memory for so many bytes besides the request, if the host has it in time
+    boost::asio::awaitable<bool> hold(std::size_t bytes);
+
     // Makes the request that is sent to the endpoint
     [[nodiscard]] caller_message make_endpoint_request() const;
 
--- a/serving/settings/node_settings.hpp
+++ b/serving/settings/node_settings.hpp
@@ -60,6 +60,11 @@
     std::string adapter_path = "/adapters/";
     /// Limits on requests and connections of callers.
     caller_limits limits;
+    /// Memory of the machine that the process may use, in MiB. A part of it bounds what
+    /// the traffic threads hold for callers, each an equal share.
+    std::uint32_t memory_mb = 4'096;
+    /// File descriptors of the process, divided in the same way.
+    std::uint32_t descriptors = 65'536;
     /// Limits on the idle connections of one traffic thread.
     connection_pool_options connections;
     /// Scheduling policy of the cells.
--- a/serving/settings/settings_field.cpp
+++ b/serving/settings/settings_field.cpp
@@ -204,6 +204,12 @@
         number_field<std::size_t>(
             "limits.max_connections", "Callers' connections of one traffic thread.", 1,
             1'000'000, [](node & s) -> auto& { return s.limits.max_connections; }),
+        number_field<std::uint32_t>(
+            "limits.memory_mb", "Memory that the process may use, in MiB.", 32, 1'048'576,
+            [](node & s) -> auto& { return s.memory_mb; }),
+        number_field<std::uint32_t>(
+            "limits.descriptors", "File descriptors that the process may use.", 256,
+            10'000'000, [](node & s) -> auto& { return s.descriptors; }),
         number_field<std::uint32_t>(
             "limits.max_attempts", "Attempts of one request.", 1, 16,
             [](node & s) -> auto& { return s.limits.max_attempts; }),
--- a/tests/process/client_crowd.cpp
+++ b/tests/process/client_crowd.cpp
@@ -1,4 +1,5 @@
 #include <tests/process/client_crowd.hpp>
+#include <tests/process/test_client.hpp>
 
 #include <boost/asio/write.hpp>
 
@@ -9,6 +10,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace marjorampath::test
@@ -88,4 +90,22 @@
     return sum;
 }
 
+void await_settled(child_process const& node)
+{
+    constexpr int calm_polls = 150;
+    constexpr auto longest = std::chrono::seconds(60);
+    std::tuple<std::size_t, std::size_t, std::size_t> last;
+    int calm = 0;
+    eventually(
+        [&]
+        {
+            std::tuple const current{unread_bytes(node.address()), node.resident_bytes(),
+                                     node.open_descriptors()};
+            calm = current == last ? calm + 1 : 0;
+            last = current;
+            return calm >= calm_polls;
+        },
+        longest);
+}
+
 } // namespace marjorampath::test
--- a/tests/process/client_crowd.hpp
+++ b/tests/process/client_crowd.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <tests/process/child_process.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -61,4 +63,8 @@
 /// Bytes that wait to be read at all connections of an address of this machine.
 std::size_t unread_bytes(boost::asio::ip::tcp::endpoint const& address);
 
+/// Waits until a node has read what it wants to read: until the bytes that wait at its
+/// sockets, its memory and its descriptors stay the same for a while.
+void await_settled(child_process const& node);
+
 } // namespace marjorampath::test
--- a/tests/process/client_limit_test.cpp
+++ b/tests/process/client_limit_test.cpp
@@ -11,7 +11,6 @@
 #include <future>
 #include <platform/standin/operator_documents.hpp>
 #include <string>
-#include <tuple>
 #include <vector>
 
 using namespace marjorampath;
@@ -59,26 +58,6 @@
     };
 }
 
-// Waits until a node has read what it wants to read: until the bytes that wait at its
-// sockets, its memory and its descriptors stay the same for a while
-void await_settled(child_process const& node)
-{
-    constexpr int calm_polls = 150;
-    constexpr auto longest = std::chrono::seconds(60);
-    std::tuple<std::size_t, std::size_t, std::size_t> last;
-    int calm = 0;
-    eventually(
-        [&]
-        {
-            std::tuple const current{unread_bytes(node.address()), node.resident_bytes(),
-                                     node.open_descriptors()};
-            calm = current == last ? calm + 1 : 0;
-            last = current;
-            return calm >= calm_polls;
-        },
-        longest);
-}
-
 std::string chunk(std::size_t size)
 {
     return fmt::format("{:x}\r\n{}\r\n", size, std::string(size, 'a'));
--- a/tests/unit/caller/exchange_test.cpp
+++ b/tests/unit/caller/exchange_test.cpp
@@ -100,6 +100,26 @@
         return parser.get();
     }
 
+    // Gives the callers' connections a budget all of which, but for some bytes, another
+    // connection has reserved
+    void fill_budget(std::size_t left = 0)
+    {
+        constexpr std::size_t bytes = 100'000;
+        context_.callers.limits.max_body_bytes = bytes;
+        auto const resources = std::make_shared<host_resources>(
+            loop, resource_budget_options{
+                      .limits = {.message_bytes = bytes,
+                                 .host_message_bytes = bytes,
+                                 .connection_message_bytes = bytes,
+                                 .connections = {places, places, places, places}},
+                      .max_wait = std::chrono::milliseconds(1)});
+        auto const other = resources->open(connection_class::callers, nullptr);
+        resources->budget().on_working(other.connection, {});
+        BOOST_REQUIRE(
+            (resources->reserve(other.connection, bytes - left) == reservation::made));
+        context_.callers.resources = resources;
+    }
+
     // Event loop of all objects
     asio::io_context loop;
     scripted_endpoint endpoint;
@@ -111,6 +131,9 @@
     std::vector<release_reason> releases;
 
 private:
+    // Connections of each class in a budget
+    static constexpr std::size_t places = 8;
+
     static std::shared_ptr<sheet const> make_sheet()
     {
         sheet_tables tables{.number = 1};
@@ -389,4 +412,55 @@
     BOOST_TEST(fixture.send_request(message)["X-Error-Kind"] == "head-too-large");
 }
 
+// Requests and answers took memory of which nobody had an account
+BOOST_AUTO_TEST_CASE(a_request_whose_copy_finds_no_memory_is_refused_as_not_run)
+{
+    for (auto* const make : {+[] { return make_completion_request(false); },
+                             +[] { return make_plain_request(http::verb::post); }})
+    {
+        exchange_fixture fixture({make_whole_answer(200, "", "{}")});
+        fixture.fill_budget(70'000);
+        auto message = make();
+        message.body() += std::string(40'000, ' ');
+        auto const answer = fixture.send_request(std::move(message));
+        BOOST_TEST(answer.result_int() == 503u);
+        BOOST_TEST(answer["X-Outcome"] == "not-run");
+        BOOST_TEST(answer["Retry-After"] == "1");
+        BOOST_TEST(fixture.endpoint.requests.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_answer_without_memory_is_not_read)
+{
+    exchange_fixture fixture({make_whole_answer(200, "", std::string(20'000, 'a'))});
+    fixture.fill_budget();
+    auto const answer = fixture.send_request(make_completion_request(false));
+    BOOST_TEST(answer.result_int() == 502u);
+    BOOST_TEST(answer["X-Outcome"] == "unknown");
+    BOOST_TEST(fixture.endpoint.requests.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_short_answer_without_memory_is_forwarded_as_it_comes)
+{
+    std::string const body(20'000, 'a');
+    exchange_fixture fixture({make_whole_answer(200, "", body)});
+    fixture.fill_budget();
+    auto const answer = fixture.send_request(make_plain_request(http::verb::get));
+    BOOST_TEST(answer.result_int() == 200u);
+    BOOST_TEST(answer.body() == body);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_memory_for_its_text_goes_on)
+{
+    std::string events;
+    for (unsigned id = 1; id <= 20; ++id)
+        events += fmt::format("id: {}\ndata: {{\"choices\":[{{\"text\":\"{}\"}}]}}\n\n",
+                              id, std::string(1'000, 'a'));
+    exchange_fixture fixture({make_stream_answer(events + done_event) + last_chunk});
+    fixture.fill_budget();
+    auto const answer = fixture.send_request(make_completion_request(true));
+    BOOST_TEST(!fixture.error);
+    BOOST_TEST(answer.body() == events + done_event);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/engine/event_stream_test.cpp
+++ b/tests/unit/engine/event_stream_test.cpp
@@ -116,4 +116,20 @@
     BOOST_TEST((events.state() == event_stream_state::broken));
 }
 
+// A resumption behind a text that was too long to keep repeated its request without the
+// part that this request continued
+BOOST_AUTO_TEST_CASE(dropped_text_keeps_what_the_present_run_continues)
+{
+    event_stream events({.keep_text = true, .max_text_bytes = 8});
+    std::string output;
+    events.push(token_event(1, "ab"), output);
+    events.restart();
+    events.push(token_event(1, "cd"), output);
+    BOOST_TEST(events.held_bytes() == 4u);
+    events.push(token_event(2, "12345678"), output);
+    BOOST_TEST(!events.can_restart());
+    BOOST_TEST(events.text_before_restart() == "ab");
+    BOOST_TEST(events.held_bytes() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
