--- a/tests/process/node_limit_test.cpp
+++ b/tests/process/node_limit_test.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 using namespace marjorampath::test;
 
@@ -39,9 +40,9 @@
 // The heads of a crowd's requests, which have this field more
 std::function<std::string(std::size_t)> heads(std::string_view more)
 {
-    auto const head =
+    auto head =
         fmt::format("POST /services/custody/x HTTP/1.1\r\nHost: a\r\n{}\r\n\r\n", more);
-    return [head](std::size_t) { return head; };
+    return [head = std::move(head)](std::size_t) { return head; };
 }
 
 std::string chunk(std::size_t size)
