Wait for the log line of a request that never ends

Cause: the check read the log file at once, and the node writes its log in batches of 100 ms. Until refused senders had a bound the node read on for 1 s behind each refusal, which hid that; since then both floods end within 0.1 s. Change: the check waits for the line, which must be logged as before.

--- a/tests/process/unparsed_bytes_test.cpp
+++ b/tests/process/unparsed_bytes_test.cpp
@@ -52,7 +52,7 @@
     for (auto const* part : {"1;", "0\r\nX: "})
         flood(entry.node().address(), part);
     BOOST_TEST(entry.node().peak_memory_kb() < most_memory_kb);
-    BOOST_TEST(entry.has_logged("request_limit_exceeded"));
+    BOOST_TEST(eventually([&] { return entry.has_logged("request_limit_exceeded"); }));
 
     platform::standin_deployment const deployment;
     auto const answer = call(entry.node().address(), "GET", deployment.safe + "x", {},
