Review case 13: the version of a stream is judged by another node's listing

A node takes a stream for one of the new version if it had seen the last engine of the old one leave before the stream began. The node at which it began reads the store later and still used that engine.

--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,80 @@
+#!/usr/bin/env bash
+# Streams begin all the while an old engine's entry is removed; their entry node is killed
+# and they are taken up again at the others. Exits with 1 if a text is joined from two
+# versions. Three releases, one after the other.
+source "$(dirname "$0")/../fleet-3.sh"
+
+start_store
+put op/config '{"version":3,
+  "routes":[{"name":"drafts","host":"case.example","prefix":"/drafts/","type":"streaming",
+    "resumable":true,"timeoutMs":6000,"goalMs":1000,"gapGoalMs":600,"priority":1,
+    "maxAttempts":2,"service":"lm","sticky":true}],
+  "services":[{"name":"lm","healthPath":"/healthz","maxConns":400,
+    "engine":{"slots":200,"kvCapacity":232000,"weightsMb":66000,"adapterSlots":4,
+      "models":[{"name":"m0","weightsMb":65000,"loadS":1.9,"adapters":50,"adapterMb":12}]}}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":5000,
+    "idleTimeoutMs":10000}}'
+
+# start_engine ID VERSION
+start_engine() {
+    start "$1" "$root/target/bin/marjorampath-standin" users-endpoint --id "$1" \
+        --service lm --zone zone-a --model m0 --store "$store" --software "$2" \
+        --slots 200 --work-ms 100 --records "$folder/records"
+    engine=$(address_of "$1")
+    [ -n "$engine" ] || give_up "no engine $1"
+    call POST "$engine" /standin/set "{\"address\":\"$engine\"}" > /dev/null
+}
+
+fields=("Host: case.example" "X-Model: m0/a1" "X-Token-Count: 100,45"
+    "X-Prompt-Prefix: a1:60,b2:40")
+start_engine i-0 v0
+# Their readings of the store are not in step
+start_gap=0.3 start_nodes 4
+"$client" stream warm /drafts/x 20000 "$net.4:8149" -- "${fields[@]}" > "$folder/warm"
+grep -q '^complete' "$folder/warm" || give_up "no stream was served"
+
+joined=0
+for round in 1 2 3; do
+    old=$engine
+    start_engine "i-$round" "v$round"
+    say "engine i-$round of version v$round starts"
+    sleep 7
+    say "streams begin at node 4, one each 25 ms; deadline and route's timeout are 6000 ms"
+    readers=()
+    for number in $(seq 80); do
+        other=$((1 + number % 3))
+        "$client" stream "s$round-$number" /drafts/x 6000 "$net.4:8149" \
+            "$net.$other:8149" -- "${fields[@]}" > "$folder/s$round-$number" &
+        readers+=($!)
+        if [ "$number" = 32 ]; then
+            call POST "$old" /standin/set '{"unlisted":true}' > /dev/null
+            call PUT "$store" "/standin/delete?key=servers/i-$((round - 1))" > /dev/null
+            say "the entry of i-$((round - 1)) is removed; it serves on"
+        fi
+        sleep 0.025
+    done
+    [ "$trouble" = 0 ] || signal KILL node-4
+    wait "${readers[@]}"
+    for number in $(seq 80); do
+        file="$folder/s$round-$number"
+        versions=$(grep -oE '^s[0-9-]+:[0-9]+:v[0-9]+' "$file" | cut -d: -f3 | sort | uniq -c |
+            tr -s ' \n' ' ')
+        echo "s$round-$number: $(tail -1 "$file"), events by version:$versions" >> "$record"
+        if [ "$(echo "$versions" | wc -w)" -gt 2 ]; then
+            joined=$((joined + 1))
+            sed 's/^/    /' "$file" | grep -v ':v' >> "$record"
+        fi
+    done
+    grep -h "endpoint_lost endpoint=i-$((round - 1)) " "$folder"/node-*.log >> "$record"
+    if [ "$trouble" != 0 ]; then
+        start_node 4
+        await_ready 4
+    fi
+done
+grep -h stream_resumed "$folder"/node-*.log | grep -o 'source=.*' | sort | uniq -c >> "$record"
+if [ "$joined" -gt 0 ]; then
+    say "ORDER is broken: $joined texts of two versions"
+    exit 1
+fi
+say "held"
+exit 0
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,5 +8,5 @@
 mkdir -p target/review-3
 for source in review/1[1-5]/tools/*.cpp; do
     [ -e "$source" ] || continue
-    g++ -std=c++20 -O1 -Wall -Wextra -o "target/review-3/$(basename "$source" .cpp)" "$source"
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/$(basename "$source" .cpp)" "$source"
 done
--- a/review/fleet-3.sh
+++ b/review/fleet-3.sh
@@ -56,7 +56,8 @@
 # put KEY JSON: the operator, or an engine, writes to the store
 put() { [ "$(call PUT "$store" "/standin/put?key=$1" "$2")" = 200 ] || give_up "put $1"; }
 
-# start_nodes COUNT: entry nodes with the settings of deploy/settings.yaml.template
+# start_nodes COUNT: entry nodes with the settings of deploy/settings.yaml.template, one
+# each $start_gap seconds
 start_nodes() {
     local count=$1 seeds="" index
     for index in $(seq "$count"); do
@@ -85,6 +86,7 @@
 ${more_settings:-}
 END
         start_node "$index"
+        sleep "${start_gap:-0}"
     done
     for index in $(seq "$count"); do
         await_ready "$index"
